--- /dev/null
+++ b/packages/core/src/index.ts
@@ -0,0 +1,1 @@
+export * from './ids.js';
--- /dev/null
+++ b/vitest.config.ts
@@ -0,0 +1,18 @@
+import { fileURLToPath } from 'node:url';
+import { defineConfig } from 'vitest/config';
+
+const packagesDirectory = fileURLToPath(new URL('./packages/', import.meta.url));
+
+// Tests run from the sources, so that a stale build cannot decide a verdict.
+export default defineConfig({
+  resolve: {
+    alias: [
+      { find: /^@hibiscusbank\/([a-z]+)$/, replacement: `${packagesDirectory}$1/src/index.ts` },
+    ],
+  },
+  test: {
+    include: ['packages/*/test/**/*.test.ts'],
+    env: { ROARR_LOG: 'false' },
+    testTimeout: 20_000,
+  },
+});
