Serve requests end to end through separate processes

Thin versions of all modules: a node reads its settings, watches the object API, authenticates a key, places a request on a prefill and a decode engine and relays the token stream; plain routes are relayed too. Tried with two nodes, two engines, one upstream and the platform stand-ins as separate processes.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -30,6 +30,8 @@
       // Loops with await run one task per connection or peer, one step after another.
       'no-await-in-loop': 'off',
       'no-continue': 'off',
+      // State that a factory closes over is passed to small functions that update its fields.
+      'no-param-reassign': ['error', { props: false }],
       'no-restricted-syntax': ['error', 'ForInStatement', 'LabeledStatement', 'WithStatement'],
       'no-void': ['error', { allowAsStatement: true }],
       'max-lines': ['error', { max: 350, skipBlankLines: true, skipComments: true }],
--- /dev/null
+++ b/packages/configuration/src/digest.ts
@@ -0,0 +1,9 @@
+/** Digests of tenant keys; the keys themselves are never stored. */
+import { createHash } from 'node:crypto';
+import { keyDigest } from '@hibiscusbank/core';
+import type { KeyDigest } from '@hibiscusbank/core';
+
+/** Digest under which a tenant key is stored. */
+export function digestKey(key: string): KeyDigest {
+  return keyDigest(createHash('sha256').update(key).digest('hex'));
+}
--- /dev/null
+++ b/packages/configuration/src/types.ts
@@ -0,0 +1,83 @@
+/** The configuration that is in force on a node. */
+import type {
+  DataCentreId,
+  KeyDigest,
+  OrganisationId,
+  PoolId,
+  UpstreamId,
+  VmId,
+} from '@hibiscusbank/core';
+import type { PoolEntry, RouteEntry } from '@hibiscusbank/settings';
+
+/** All configuration objects have keys under this prefix. */
+export const CONFIGURATION_PREFIX = 'config/';
+
+/** Keys of configuration objects in the object API. */
+export const configurationKeys = {
+  routes: 'config/routes',
+  pool: (pool: PoolId): string => `config/pools/${pool}`,
+  organisation: (organisation: OrganisationId): string => `config/organisations/${organisation}`,
+  tenantKey: (digest: KeyDigest): string => `config/keys/${digest}`,
+  drain: (kind: DrainKind, name: string): string => `config/drains/${kind}/${name}`,
+  ring: (dataCentre: DataCentreId): string => `config/rings/${dataCentre}`,
+} as const;
+
+export type DrainKind = 'dc' | 'vm' | 'upstream';
+
+/** Token rate and burst, counted across all VMs. */
+export interface Organisation {
+  readonly id: OrganisationId;
+  readonly ratePerS: number;
+  readonly burst: number;
+}
+
+export interface TenantKey {
+  readonly digest: KeyDigest;
+  readonly organisation: OrganisationId;
+  readonly withdrawn: boolean;
+  /** First characters of the key, for lists. */
+  readonly hint: string;
+}
+
+/** The agreed list of quota holders of a data centre. */
+export interface QuotaRing {
+  readonly dataCentre: DataCentreId;
+  readonly members: readonly VmId[];
+  /** Version of the object. */
+  readonly version: number;
+}
+
+/** One object at a revision, as it travels between nodes. */
+export interface ConfigurationEntry {
+  readonly key: string;
+  readonly revision: number;
+  readonly value: unknown;
+  readonly deleted: boolean;
+}
+
+export interface ConfigurationReplica {
+  /** Highest revision in force. */
+  revision(): number;
+  /** Whether the node has the highest revision that the platform or its peers can tell. */
+  isReady(): boolean;
+  routes(): readonly RouteEntry[];
+  pools(): ReadonlyMap<PoolId, PoolEntry>;
+  organisation(id: OrganisationId): Organisation | undefined;
+  organisations(): readonly Organisation[];
+  /** The key, unless it is unknown or withdrawn. */
+  findKey(digest: KeyDigest): TenantKey | undefined;
+  /** Whether keys may still be trusted; false after a long isolation. */
+  areKeysConfirmed(): boolean;
+  isDataCentreOut(dataCentre: DataCentreId): boolean;
+  isVmOut(vm: VmId): boolean;
+  /** Whether an upstream or its data centre is out. */
+  isUpstreamOut(upstream: UpstreamId, dataCentre: DataCentreId): boolean;
+  ring(dataCentre: DataCentreId): QuotaRing | undefined;
+  /** Data centres named in the pools table, sorted. */
+  dataCentres(): readonly DataCentreId[];
+  onChange(listener: (entry: ConfigurationEntry) => void): () => void;
+  /** Withdraws a key on all reachable nodes without waiting for the platform. */
+  withdrawKey(digest: KeyDigest): Promise<void>;
+  start(): Promise<void>;
+  stop(): Promise<void>;
+}
--- /dev/null
+++ b/packages/core/src/metrics.ts
@@ -0,0 +1,80 @@
+/** Metrics of one node. Every node has its own registry, so that several run in one process. */
+import { Counter, Gauge, Histogram, Registry } from 'prom-client';
+
+const LATENCY_BUCKETS_S = [0.001, 0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30];
+
+/** Creates the metrics that docs/metrics.md lists. */
+export function createMetrics() {
+  const registry = new Registry();
+  const registers = [registry];
+  return {
+    registry,
+    requests: new Counter({
+      name: 'hibiscusbank_requests_total',
+      help: 'Requests by route and outcome',
+      labelNames: ['route', 'outcome'],
+      registers,
+    }),
+    refusals: new Counter({
+      name: 'hibiscusbank_refusals_total',
+      help: 'Requests refused by error kind',
+      labelNames: ['kind'],
+      registers,
+    }),
+    firstTokenSeconds: new Histogram({
+      name: 'hibiscusbank_first_token_seconds',
+      help: 'Time from the request to its first token',
+      labelNames: ['pool'],
+      buckets: LATENCY_BUCKETS_S,
+      registers,
+    }),
+    attempts: new Counter({
+      name: 'hibiscusbank_attempts_total',
+      help: 'Attempts by pool and result',
+      labelNames: ['pool', 'result'],
+      registers,
+    }),
+    wastedPrefills: new Counter({
+      name: 'hibiscusbank_wasted_prefills_total',
+      help: 'Prefills whose result no decode engine imported',
+      labelNames: ['pool'],
+      registers,
+    }),
+    activeRequests: new Gauge({
+      name: 'hibiscusbank_active_requests',
+      help: 'Requests in progress on this node',
+      registers,
+    }),
+    configurationRevision: new Gauge({
+      name: 'hibiscusbank_configuration_revision',
+      help: 'Configuration revision in force on this node',
+      registers,
+    }),
+    liveMembers: new Gauge({
+      name: 'hibiscusbank_live_members',
+      help: 'Live VMs by data centre as this node sees them',
+      labelNames: ['data_centre'],
+      registers,
+    }),
+    controlBytes: new Counter({
+      name: 'hibiscusbank_peer_bytes_total',
+      help: 'Bytes sent to peers by class of message',
+      labelNames: ['class'],
+      registers,
+    }),
+    platformCalls: new Counter({
+      name: 'hibiscusbank_platform_calls_total',
+      help: 'Calls to the object API by operation and result',
+      labelNames: ['operation', 'result'],
+      registers,
+    }),
+    invariantViolations: new Counter({
+      name: 'hibiscusbank_invariant_violations_total',
+      help: 'Violated invariants by name',
+      labelNames: ['invariant'],
+      registers,
+    }),
+  };
+}
+
+export type Metrics = ReturnType<typeof createMetrics>;
--- /dev/null
+++ b/packages/core/test/hashing.test.ts
@@ -0,0 +1,24 @@
+import { hashPrefixes, PREFIX_BLOCK_CHARS, rankByRendezvous } from '@hibiscusbank/core';
+import { expect, test } from 'vitest';
+
+test('removing a candidate moves only the keys that it held', () => {
+  const candidates = ['a', 'b', 'c', 'd'];
+  const keys = Array.from({ length: 200 }, (_, i) => `key-${i}`);
+  for (const key of keys) {
+    const before = rankByRendezvous(key, candidates)[0];
+    const after = rankByRendezvous(
+      key,
+      candidates.filter((candidate) => candidate !== 'c'),
+    )[0];
+    if (before !== 'c') expect(after).toBe(before);
+  }
+});
+
+test('prompts that differ in one block share only the hashes before it', () => {
+  const shared = 'x'.repeat(PREFIX_BLOCK_CHARS);
+  const first = hashPrefixes(shared + 'a'.repeat(PREFIX_BLOCK_CHARS));
+  const second = hashPrefixes(shared + 'b'.repeat(PREFIX_BLOCK_CHARS));
+  expect(first).toHaveLength(2);
+  expect(first[0]).toBe(second[0]);
+  expect(first[1]).not.toBe(second[1]);
+});
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,1 +1,3 @@
-export {};
+export * from './error-response.js';
+export * from './gateway.js';
+export * from './types.js';
--- /dev/null
+++ b/packages/gateway/src/read-body.ts
@@ -0,0 +1,43 @@
+/** Reads request bodies within a limit. */
+import type { IncomingMessage } from 'node:http';
+import { createError, toError } from '@hibiscusbank/core';
+import type { RouterError } from '@hibiscusbank/core';
+import { err, ok } from 'neverthrow';
+import type { Result } from 'neverthrow';
+
+function tooLarge(limitBytes: number): RouterError {
+  return createError('body_too_large', `the body exceeds ${limitBytes} bytes; send less`, {
+    effect: 'not_run',
+  });
+}
+
+/** Size that the caller announced, or `undefined`. */
+export function announcedBytes(incoming: IncomingMessage): number | undefined {
+  const header = incoming.headers['content-length'];
+  return header === undefined ? undefined : Number(header);
+}
+
+/** Reads a whole body. Errors: `body_too_large`, `cancelled`. */
+export async function readBody(
+  incoming: IncomingMessage,
+  limitBytes: number,
+): Promise<Result<Buffer, RouterError>> {
+  if ((announcedBytes(incoming) ?? 0) > limitBytes) return err(tooLarge(limitBytes));
+  const chunks: Buffer[] = [];
+  let size = 0;
+  try {
+    for await (const chunk of incoming as AsyncIterable<Buffer>) {
+      size += chunk.length;
+      if (size > limitBytes) return err(tooLarge(limitBytes));
+      chunks.push(chunk);
+    }
+  } catch (thrown) {
+    return err(
+      createError('cancelled', 'the caller disconnected while sending the body', {
+        cause: toError(thrown),
+        effect: 'not_run',
+      }),
+    );
+  }
+  return ok(Buffer.concat(chunks));
+}
--- /dev/null
+++ b/packages/gateway/src/types.ts
@@ -0,0 +1,46 @@
+/** What the gateway needs from the other modules. */
+import type { OrganisationId, RequestId, Telemetry, TokenCounter, VmId } from '@hibiscusbank/core';
+import type { ConfigurationReplica } from '@hibiscusbank/configuration';
+import type { EnginePort, UpstreamPort } from '@hibiscusbank/engines';
+import type { ObjectApi } from '@hibiscusbank/platform';
+import type { Quota } from '@hibiscusbank/quota';
+import type { Scheduler } from '@hibiscusbank/scheduler';
+import type { NodeLimits, RouteEntry } from '@hibiscusbank/settings';
+
+export interface GatewayOptions {
+  readonly vm: VmId;
+  readonly listen: { readonly host: string; readonly port: number };
+  readonly limits: NodeLimits;
+  readonly configuration: ConfigurationReplica;
+  readonly quota: Quota;
+  readonly scheduler: Scheduler;
+  readonly engines: EnginePort;
+  readonly upstreams: UpstreamPort;
+  readonly objectApi: ObjectApi;
+  readonly telemetry: Telemetry;
+  readonly countTokens: TokenCounter;
+}
+
+/** A request that passed authentication and routing. */
+export interface AdmittedRequest {
+  readonly id: RequestId;
+  readonly route: RouteEntry;
+  /** `undefined` on routes open to all. */
+  readonly organisation: OrganisationId | undefined;
+  readonly startedAtMs: number;
+  /** Aborted when the caller disconnects or the time limit passes. */
+  readonly signal: AbortSignal;
+}
+
+export interface Gateway {
+  start(): Promise<void>;
+  /** Port that the gateway listens on. */
+  port(): number;
+  activeRequests(): number;
+  /** Waits for running requests, at most `timeoutMs`; returns how many were left. */
+  waitUntilIdle(timeoutMs: number): Promise<number>;
+  /** Closes idle connections and stops listening. */
+  stop(): Promise<void>;
+  /** Drops all connections at once. */
+  kill(): Promise<void>;
+}
--- /dev/null
+++ b/packages/node/src/admin.ts
@@ -0,0 +1,84 @@
+/** Health checks, metrics and status for operators. */
+import { createServer } from 'node:http';
+import type { Server } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { getRequestListener } from '@hono/node-server';
+import { poolId } from '@hibiscusbank/core';
+import { Hono } from 'hono';
+import type { RouterNode } from './types.js';
+
+export interface AdminServer {
+  start(): Promise<void>;
+  port(): number;
+  stop(): Promise<void>;
+}
+
+export interface AdminOptions {
+  readonly node: Pick<
+    RouterNode,
+    'telemetry' | 'configuration' | 'membership' | 'scheduler' | 'quota'
+  >;
+  readonly listen: { readonly host: string; readonly port: number };
+  /** Why the node is not ready, or `undefined` when it is. */
+  readonly findObstacle: () => string | undefined;
+  readonly activeRequests: () => number;
+}
+
+function describeNode({ node, activeRequests, findObstacle }: AdminOptions) {
+  return {
+    vm: node.membership.self.vm,
+    dataCentre: node.membership.self.dataCentre,
+    ready: findObstacle() === undefined,
+    obstacle: findObstacle(),
+    revision: node.configuration.revision(),
+    activeRequests: activeRequests(),
+    members: node.membership.members(),
+    cells: node.scheduler.ownedCells(),
+    balances: node.quota.balances(),
+    violations: node.telemetry.invariants.violations(),
+  };
+}
+
+/** Creates the admin server of a node. */
+export function createAdminServer(options: AdminOptions): AdminServer {
+  const { node } = options;
+  const app = new Hono();
+  let server: Server | undefined;
+  app.get('/healthz', (c) => c.text('ok\n'));
+  app.get('/readyz', (c) => {
+    const obstacle = options.findObstacle();
+    return obstacle === undefined ? c.text('ready\n') : c.text(`not ready: ${obstacle}\n`, 503);
+  });
+  app.get('/metrics', async (c) =>
+    c.text(await node.telemetry.metrics.registry.metrics(), 200, {
+      'content-type': node.telemetry.metrics.registry.contentType,
+    }),
+  );
+  app.get('/status', (c) => c.json(describeNode(options)));
+  app.get('/explain', (c) => {
+    const pool = c.req.query('pool');
+    if (pool === undefined) return c.json({ error: 'name a pool: /explain?pool=NAME' }, 400);
+    return c.json({ lines: node.scheduler.explain(poolId(pool)) });
+  });
+  return {
+    start: () =>
+      new Promise((resolve, reject) => {
+        const listener = getRequestListener(app.fetch, { overrideGlobalObjects: false });
+        server = createServer((req, res) => {
+          void listener(req, res);
+        });
+        server.once('error', reject);
+        server.listen(options.listen.port, options.listen.host, () => resolve());
+      }),
+    port: () => (server?.address() as AddressInfo | null)?.port ?? 0,
+    stop: async () => {
+      const closing = server;
+      server = undefined;
+      if (closing === undefined) return;
+      await new Promise<void>((resolve) => {
+        closing.close(() => resolve());
+        closing.closeAllConnections();
+      });
+    },
+  };
+}
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -1,1 +1,3 @@
-export {};
+export * from './http-ports.js';
+export * from './node.js';
+export * from './types.js';
--- /dev/null
+++ b/packages/platform/src/http.ts
@@ -0,0 +1,54 @@
+/** JSON over HTTP to the platform's services. */
+import { createError, toError } from '@hibiscusbank/core';
+import type { RouterError } from '@hibiscusbank/core';
+import { ResultAsync } from 'neverthrow';
+import { request } from 'undici';
+import type { Dispatcher } from 'undici';
+
+/** Platform calls answer in milliseconds; a slower one counts as an outage. */
+const CALL_TIMEOUT_MS = 2_000;
+
+export interface JsonCall {
+  readonly method: Dispatcher.HttpMethod;
+  readonly url: string;
+  readonly body?: unknown;
+  readonly headers?: Readonly<Record<string, string>>;
+  /** Added to the timeout, for calls that wait on purpose. */
+  readonly waitMs?: number;
+  readonly signal?: AbortSignal;
+}
+
+export interface JsonResponse {
+  readonly status: number;
+  readonly body: unknown;
+}
+
+async function send(call: JsonCall): Promise<JsonResponse> {
+  const timeoutMs = CALL_TIMEOUT_MS + (call.waitMs ?? 0);
+  const expiry = AbortSignal.timeout(timeoutMs);
+  const res = await request(call.url, {
+    method: call.method,
+    headers: { 'content-type': 'application/json', ...call.headers },
+    body: call.body === undefined ? null : JSON.stringify(call.body),
+    signal: call.signal === undefined ? expiry : AbortSignal.any([expiry, call.signal]),
+  });
+  const text = await res.body.text();
+  return { status: res.statusCode, body: text === '' ? undefined : JSON.parse(text) };
+}
+
+/** Sends one call. Statuses from 500 and transport errors give `platform_unavailable`. */
+export function callJson(call: JsonCall): ResultAsync<JsonResponse, RouterError> {
+  const unavailable = (cause?: Error): RouterError =>
+    createError(
+      'platform_unavailable',
+      `no answer from ${call.url}; check the [platform] addresses and the service`,
+      cause === undefined ? {} : { cause },
+    );
+  return ResultAsync.fromPromise(
+    send(call).then((res) => {
+      if (res.status >= 500) throw new Error(`status ${res.status}`);
+      return res;
+    }),
+    (thrown) => unavailable(toError(thrown)),
+  );
+}
--- a/packages/quota/src/index.ts
+++ b/packages/quota/src/index.ts
@@ -1,1 +1,2 @@
-export {};
+export * from './local-quota.js';
+export * from './types.js';
--- /dev/null
+++ b/packages/quota/src/types.ts
@@ -0,0 +1,39 @@
+/** Fleet-wide token rate and burst of organisations. */
+import type { OrganisationId, RequestId, RouterError, VmId } from '@hibiscusbank/core';
+import type { ResultAsync } from 'neverthrow';
+
+export interface DebitRequest {
+  readonly organisation: OrganisationId;
+  readonly requestId: RequestId;
+  readonly tokens: number;
+  /** How long the debit may wait for tokens to accrue. */
+  readonly waitMs: number;
+  readonly signal?: AbortSignal;
+}
+
+/** Tokens taken from a holder. */
+export interface Charge {
+  readonly organisation: OrganisationId;
+  readonly requestId: RequestId;
+  readonly holder: VmId;
+  readonly tokens: number;
+}
+
+/** Balance of an organisation on this node, for `status`. */
+export interface BalanceReport {
+  readonly organisation: OrganisationId;
+  readonly tokens: number;
+  readonly waiting: number;
+}
+
+export interface Quota {
+  /** Errors: `rate_exceeded` with `retryAfterMs`, `not_found` for an unknown organisation. */
+  debit(req: DebitRequest): ResultAsync<Charge, RouterError>;
+  /** Gives back the unused part of a charge. Never fails; lost refunds are lost tokens. */
+  refund(charge: Charge, tokens: number): void;
+  balances(): readonly BalanceReport[];
+  start(): Promise<void>;
+  /** Hands this VM's balances over and leaves the ring. */
+  leave(): Promise<void>;
+  stop(): Promise<void>;
+}
--- a/packages/scheduler/src/index.ts
+++ b/packages/scheduler/src/index.ts
@@ -1,1 +1,2 @@
-export {};
+export * from './local-scheduler.js';
+export * from './types.js';
--- /dev/null
+++ b/packages/scheduler/src/types.ts
@@ -0,0 +1,125 @@
+/** Placement of requests on engines and upstreams. */
+import type {
+  CellId,
+  DataCentreId,
+  GrantId,
+  OrganisationId,
+  PoolId,
+  RequestId,
+  RouterError,
+  UpstreamId,
+  VmId,
+} from '@hibiscusbank/core';
+import type { Urgency } from '@hibiscusbank/settings';
+import type { ResultAsync } from 'neverthrow';
+
+export interface PlacementRequest {
+  readonly requestId: RequestId;
+  readonly attempt: number;
+  /** `undefined` on routes open to all. */
+  readonly organisation: OrganisationId | undefined;
+  readonly pool: PoolId;
+  /** Tokens to prefill, including text generated so far; 0 for plain upstreams. */
+  readonly promptTokens: number;
+  /** Tokens expected in the answer. */
+  readonly expectedTokens: number;
+  /** Largest answer, which bounds the memory. */
+  readonly maxTokens: number;
+  readonly prefixHashes: readonly number[];
+  readonly urgency: Urgency;
+  readonly firstTokenTargetMs: number;
+  /** Time left that the caller waits for its turn. */
+  readonly patienceMs: number;
+  /** Time left until the limit of the whole request. */
+  readonly timeLimitMs: number;
+  /** Upstreams that failed this request. */
+  readonly exclude: readonly UpstreamId[];
+}
+
+export interface PlacedUpstream {
+  readonly upstream: UpstreamId;
+  /** Base URL. */
+  readonly address: string;
+}
+
+/** A reservation. Model pools give `prefill` and `decode`, plain pools `server`. */
+export interface Grant {
+  readonly id: GrantId;
+  readonly cell: CellId;
+  /** Fencing token of the cell's owner. */
+  readonly epoch: number;
+  readonly owner: VmId;
+  readonly pool: PoolId;
+  readonly dataCentre: DataCentreId;
+  readonly requestId: RequestId;
+  readonly attempt: number;
+  readonly target: GrantTarget;
+}
+
+export type GrantTarget =
+  | {
+      readonly kind: 'model';
+      readonly prefill: PlacedUpstream;
+      readonly decode: PlacedUpstream;
+      /** Expected time of the prefill, for its time limit. */
+      readonly prefillMs: number;
+      /** Expected time of the KV transfer, for its time limit. */
+      readonly transferMs: number;
+    }
+  | { readonly kind: 'plain'; readonly server: PlacedUpstream };
+
+export type GrantOutcome =
+  | 'completed'
+  | 'cancelled'
+  /** The upstream refused; it did not run. */
+  | 'refused'
+  | 'cold'
+  | 'failed'
+  /** The grant was never used. */
+  | 'unused';
+
+/** Sent when a grant ends. Times are absent when the step did not run. */
+export interface ReleaseReport {
+  readonly outcome: GrantOutcome;
+  /** The upstream to which the outcome belongs. */
+  readonly upstream?: UpstreamId;
+  readonly prefillMs?: number;
+  readonly prefilledTokens?: number;
+  readonly cachedTokens?: number;
+  readonly decodeMs?: number;
+  readonly decodedTokens?: number;
+  /** Time to the response of a plain upstream. */
+  readonly latencyMs?: number;
+}
+
+/** Load of a cell, for overflow and `status`. */
+export interface CellSummary {
+  readonly cell: CellId;
+  readonly owner: VmId;
+  readonly freeSlots: number;
+  readonly slots: number;
+  readonly queued: number;
+  readonly queueMs: number;
+}
+
+export interface Scheduler {
+  /**
+   * Waits for a placement. Errors: `no_capacity` with `retryAfterMs` (not run), `not_found` for an
+   * unknown pool, `cancelled`.
+   */
+  place(req: PlacementRequest, signal: AbortSignal): ResultAsync<Grant, RouterError>;
+  /** Reports that the prefill has ended and its engine is free. */
+  finishPrefill(grant: Grant, report: ReleaseReport): void;
+  /** Ends a grant; retried until the owner has it. */
+  release(grant: Grant, report: ReleaseReport): void;
+  /** Takes over the hold of a stream that another node began. */
+  adopt(requestId: RequestId, attempt: number, upstream: UpstreamId): Promise<void>;
+  /** Cells that this node owns. */
+  ownedCells(): readonly CellSummary[];
+  /** Describes the cells and owners that a request for a pool may go to. */
+  explain(pool: PoolId): readonly string[];
+  start(): Promise<void>;
+  /** Gives up all cells and waits until this node's grants are released. */
+  leave(): Promise<void>;
+  stop(): Promise<void>;
+}
