Claim idempotency keys, resume streams and hedge slow lookups in the gateway

The attempt loop is shared by model and plain requests and re-checks key and drain state right before sending. A non-idempotent request with an Idempotency-Key is claimed on the platform by write id; a repeat gets the kept answer. A stream is resumed on any node from its engine by Last-Event-ID and continued elsewhere when that engine dies.

--- a/packages/engines/src/http-engine.ts
+++ b/packages/engines/src/http-engine.ts
@@ -132,7 +132,11 @@
             headers: { 'last-event-id': String(call.lastIndex) },
             body: undefined,
             signal: call.signal,
-            onHeaders: (headers) => call.onOwner(readFirst(headers['x-hibiscusbank-organisation'])),
+            onHeaders: (headers) =>
+              call.onOwner({
+                organisation: readFirst(headers['x-hibiscusbank-organisation']),
+                attempt: Number(readFirst(headers['x-hibiscusbank-attempt']) ?? call.attempt),
+              }),
             onTokens: call.onTokens,
           }),
         ),
--- a/packages/engines/src/types.ts
+++ b/packages/engines/src/types.ts
@@ -49,13 +49,19 @@
   readonly onTokens: (tokens: readonly TokenEvent[]) => void;
 }
 
+/** For whom an engine runs a stream, from its response headers. */
+export interface StreamOwner {
+  readonly organisation: string | undefined;
+  readonly attempt: number;
+}
+
 export interface ResumeCall extends AttemptRef {
   readonly address: string;
   /** Last index that the caller has; -1 for none. */
   readonly lastIndex: number;
   readonly signal: AbortSignal;
   /** Runs before the first token; an error refuses the stream. */
-  readonly onOwner: (organisation: string | undefined) => RouterError | undefined;
+  readonly onOwner: (owner: StreamOwner) => RouterError | undefined;
   readonly onTokens: (tokens: readonly TokenEvent[]) => void;
 }
 
--- a/packages/gateway/src/model-attempt.ts
+++ b/packages/gateway/src/model-attempt.ts
@@ -1,12 +1,14 @@
 /** One attempt of a model request: prefill on one engine, decode on another. */
 import { createError } from '@hibiscusbank/core';
 import type { RouterError, UpstreamId } from '@hibiscusbank/core';
-import type { TokenEvent } from '@hibiscusbank/engines';
-import type { Grant, GrantOutcome, GrantTarget, ReleaseReport } from '@hibiscusbank/scheduler';
+import type { PrefillResult, TokenEvent } from '@hibiscusbank/engines';
+import type { Grant, GrantTarget, ReleaseReport } from '@hibiscusbank/scheduler';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import type { AnswerWriter } from './answer-writer.js';
+import type { AttemptFailure } from './attempts.js';
 import type { ModelRequest } from './model-request.js';
+import { toGrantOutcome } from './outcome.js';
 import { createStallGuard } from './stall-guard.js';
 import type { AdmittedRequest, GatewayOptions } from './types.js';
 
@@ -24,12 +26,13 @@
 
 /** What the caller has received so far; it outlives an attempt. */
 export interface AnswerProgress {
-  text: string;
+  /** Text of all tokens from index 0; `undefined` when earlier tokens are not known here. */
+  text: string | undefined;
   nextIndex: number;
   finished: boolean;
 }
 
-export interface AttemptContext {
+export interface ModelContext {
   readonly options: GatewayOptions;
   readonly req: AdmittedRequest;
   readonly model: ModelRequest;
@@ -38,26 +41,13 @@
   readonly progress: AnswerProgress;
 }
 
-export interface AttemptFailure {
-  readonly error: RouterError;
-  readonly upstream: UpstreamId;
-}
-
 type ModelTarget = Extract<GrantTarget, { kind: 'model' }>;
 
-function toOutcome(error: RouterError): GrantOutcome {
-  if (error.kind === 'cancelled') return 'cancelled';
-  if (error.kind === 'upstream_cold') return 'cold';
-  if (error.kind === 'upstream_refused') return 'refused';
-  return 'failed';
-}
-
 /** Accepts tokens in order once; repeated ones are dropped and a gap is an error. */
-function acceptTokens(
-  context: AttemptContext,
+export function acceptTokens(
+  progress: AnswerProgress,
   tokens: readonly TokenEvent[],
 ): readonly TokenEvent[] {
-  const { progress } = context;
   const accepted: TokenEvent[] = [];
   for (const token of tokens) {
     if (token.index < progress.nextIndex) continue;
@@ -65,115 +55,126 @@
       throw createError('upstream_failed', 'the engine skipped a token; another attempt is made');
     }
     progress.nextIndex += 1;
-    progress.text += token.text;
+    if (progress.text !== undefined) progress.text += token.text;
     progress.finished ||= token.finishReason !== undefined;
     accepted.push(token);
   }
   return accepted;
 }
 
-/** Runs the steps of an attempt. The grant is released in every case. */
-export async function runModelAttempt(
-  context: AttemptContext,
-  grant: Grant,
-  target: ModelTarget,
-): Promise<Result<void, AttemptFailure>> {
-  const { options, req, model, progress, writer } = context;
-  const { engines, scheduler, telemetry } = options;
-  const { attempt } = grant;
-  const ref = { requestId: req.id, attempt };
-  const base = {
-    ...ref,
+/** Longest pause between two tokens before the stream counts as stalled. */
+export function tokenGapLimitMs(req: AdmittedRequest): number {
+  return Math.max(req.route.tokenGapTargetMs * TOKEN_GAP_FACTOR, MIN_TOKEN_GAP_LIMIT_MS);
+}
+
+function createEngineCall({ req, model }: ModelContext, attempt: number) {
+  return {
+    requestId: req.id,
+    attempt,
     organisation: req.organisation,
     model: model.model,
     priority: req.route.urgency === 'urgent' ? URGENT_PRIORITY : PATIENT_PRIORITY,
   };
-  let report: ReleaseReport = { outcome: 'failed' };
-  let active = true;
-
-  const fail = (error: RouterError, upstream: UpstreamId): Result<void, AttemptFailure> => {
-    report = { ...report, outcome: toOutcome(error), upstream };
-    telemetry.metrics.attempts.inc({ pool: grant.pool, result: report.outcome });
-    telemetry.log('attemptFailed', {
-      request: req.id,
-      attempt,
-      upstream,
-      kind: error.kind,
-      error: error.message,
-    });
-    return err({ error, upstream });
-  };
+}
 
-  const prefillLimitMs = Math.max(target.prefillMs * STALL_FACTOR, MIN_PREFILL_LIMIT_MS);
-  const prefillGuard = createStallGuard(req.signal, prefillLimitMs, 'prefill');
-  const prefilled = await engines.prefill({
-    ...base,
+async function prefill(
+  context: ModelContext,
+  grant: Grant,
+  target: ModelTarget,
+): Promise<Result<PrefillResult, RouterError>> {
+  const { options, req, model, progress } = context;
+  const limitMs = Math.max(target.prefillMs * STALL_FACTOR, MIN_PREFILL_LIMIT_MS);
+  const guard = createStallGuard(req.signal, limitMs, 'prefill');
+  const result = await options.engines.prefill({
+    ...createEngineCall(context, grant.attempt),
     address: target.prefill.address,
-    prompt: model.prompt + progress.text,
-    signal: prefillGuard.signal,
+    prompt: model.prompt + (progress.text ?? ''),
+    signal: guard.signal,
   });
-  prefillGuard.stop();
-  if (prefilled.isErr()) {
-    const failure = fail(prefilled.error, target.prefill.upstream);
-    void engines.cancel(target.prefill.address, ref);
-    scheduler.release(grant, report);
-    return failure;
-  }
-  report = {
-    ...report,
-    prefillMs: prefilled.value.elapsedMs,
-    prefilledTokens: prefilled.value.promptTokens,
-    cachedTokens: prefilled.value.cachedTokens,
-  };
-  scheduler.finishPrefill(grant, report);
+  guard.stop();
+  return result;
+}
+
+function observeFirstToken({ options, req }: ModelContext): void {
+  const seconds = (performance.now() - req.startedAtMs) / 1_000;
+  options.telemetry.metrics.firstTokenSeconds.observe({ pool: req.route.pool }, seconds);
+}
 
-  const transferLimitMs =
-    Math.max(target.transferMs * STALL_FACTOR, MIN_TRANSFER_LIMIT_MS) + FIRST_STEP_LIMIT_MS;
-  const gapLimitMs = Math.max(
-    req.route.tokenGapTargetMs * TOKEN_GAP_FACTOR,
-    MIN_TOKEN_GAP_LIMIT_MS,
-  );
-  const decodeGuard = createStallGuard(req.signal, transferLimitMs, 'decode');
+async function decode(
+  context: ModelContext,
+  grant: Grant,
+  target: ModelTarget,
+  kvId: string,
+): Promise<Result<void, RouterError>> {
+  const { options, req, progress, writer } = context;
+  const transferLimitMs = Math.max(target.transferMs * STALL_FACTOR, MIN_TRANSFER_LIMIT_MS);
+  const guard = createStallGuard(req.signal, transferLimitMs + FIRST_STEP_LIMIT_MS, 'decode');
+  const gapLimitMs = tokenGapLimitMs(req);
   const startIndex = progress.nextIndex;
-  const decodeStartedAt = performance.now();
-  const decoded = await engines.decode({
-    ...base,
+  let active = true;
+  const result = await options.engines.decode({
+    ...createEngineCall(context, grant.attempt),
     address: target.decode.address,
-    kv: { address: target.prefill.address, kvId: prefilled.value.kvId },
+    kv: { address: target.prefill.address, kvId },
     startIndex,
     maxTokens: context.maxTokens - startIndex,
-    signal: decodeGuard.signal,
+    signal: guard.signal,
     onTokens: (tokens) => {
       // A late answer of an attempt that was given up must not reach the caller.
       if (!active) return;
-      if (progress.nextIndex === 0) {
-        const elapsedMs = performance.now() - req.startedAtMs;
-        telemetry.metrics.firstTokenSeconds.observe({ pool: grant.pool }, elapsedMs / 1_000);
-      }
-      decodeGuard.touch(gapLimitMs);
-      const accepted = acceptTokens(context, tokens);
+      if (progress.nextIndex === 0) observeFirstToken(context);
+      guard.touch(gapLimitMs);
+      const accepted = acceptTokens(progress, tokens);
       if (accepted.length > 0) writer.writeTokens(accepted, target.decode.upstream);
     },
   });
   active = false;
-  decodeGuard.stop();
-  report = {
-    ...report,
-    decodeMs: performance.now() - decodeStartedAt,
-    decodedTokens: progress.nextIndex - startIndex,
+  guard.stop();
+  return progress.finished ? ok(undefined) : result;
+}
+
+/** Runs the steps of an attempt. The grant is released in every case. */
+export async function runModelAttempt(
+  context: ModelContext,
+  grant: Grant,
+  target: ModelTarget,
+): Promise<Result<void, AttemptFailure>> {
+  const { options, req, progress } = context;
+  const { engines, scheduler, telemetry } = options;
+  const ref = { requestId: req.id, attempt: grant.attempt };
+
+  const fail = (
+    error: RouterError,
+    upstream: UpstreamId,
+    report: Partial<ReleaseReport>,
+  ): Result<void, AttemptFailure> => {
+    void engines.cancel(target.prefill.address, ref);
+    void engines.cancel(target.decode.address, ref);
+    scheduler.release(grant, { ...report, outcome: toGrantOutcome(error, req.signal), upstream });
+    return err({ error, upstream });
+  };
+
+  const prefilled = await prefill(context, grant, target);
+  if (prefilled.isErr()) return fail(prefilled.error, target.prefill.upstream, {});
+  const prefillReport = {
+    prefillMs: prefilled.value.elapsedMs,
+    prefilledTokens: prefilled.value.promptTokens,
+    cachedTokens: prefilled.value.cachedTokens,
   };
+  scheduler.finishPrefill(grant, { outcome: 'completed', ...prefillReport });
+
+  const startIndex = progress.nextIndex;
+  const startedAt = performance.now();
+  const decoded = await decode(context, grant, target, prefilled.value.kvId);
   if (progress.nextIndex === startIndex) {
     telemetry.metrics.wastedPrefills.inc({ pool: grant.pool });
   }
-  if (decoded.isErr() && !progress.finished) {
-    const failure = fail(decoded.error, target.decode.upstream);
-    void engines.cancel(target.decode.address, ref);
-    void engines.cancel(target.prefill.address, ref);
-    scheduler.release(grant, report);
-    return failure;
-  }
-  report = { ...report, outcome: 'completed' };
-  telemetry.metrics.attempts.inc({ pool: grant.pool, result: 'completed' });
-  scheduler.release(grant, report);
+  const report = {
+    ...prefillReport,
+    decodeMs: performance.now() - startedAt,
+    decodedTokens: progress.nextIndex - startIndex,
+  };
+  if (decoded.isErr()) return fail(decoded.error, target.decode.upstream, report);
+  scheduler.release(grant, { ...report, outcome: 'completed' });
   return ok(undefined);
 }
--- /dev/null
+++ b/packages/gateway/src/model-handler.ts
@@ -0,0 +1,110 @@
+/** Handles requests in the form of the OpenAI API. */
+import type { IncomingMessage } from 'node:http';
+import { ok } from 'neverthrow';
+import type { Result } from 'neverthrow';
+import type { RouterError } from '@hibiscusbank/core';
+import type { Exchange, StartedRequest } from './admission.js';
+import { createJsonWriter, createStreamWriter } from './answer-writer.js';
+import { fingerprintRequest } from './claims.js';
+import type { ModelContext } from './model-attempt.js';
+import { parseModelRequest } from './model-request.js';
+import type { ApiForm, ModelRequest } from './model-request.js';
+import { readBody } from './read-body.js';
+import { parseEventId, serveResumedStream } from './resume-stream.js';
+import type { StreamPosition } from './resume-stream.js';
+import { serveClaimed } from './serve-claimed.js';
+import { serveModelRequest } from './serve-model.js';
+import type { HandlerContext } from './types.js';
+
+function readPosition(incoming: IncomingMessage): Result<StreamPosition | undefined, RouterError> {
+  const header = incoming.headers['last-event-id'];
+  return header === undefined ? ok(undefined) : parseEventId(String(header));
+}
+
+/** Reads one header that may have been sent several times. */
+export function readIdempotencyKey(incoming: IncomingMessage): string | undefined {
+  const header = incoming.headers['idempotency-key'];
+  return Array.isArray(header) ? header[0] : header;
+}
+
+function createContext(
+  context: HandlerContext,
+  exchange: Exchange,
+  { req }: StartedRequest,
+  model: ModelRequest,
+): ModelContext {
+  const { options } = context;
+  const createWriter = model.stream ? createStreamWriter : createJsonWriter;
+  return {
+    options,
+    req,
+    model,
+    maxTokens: model.maxTokens ?? req.route.maxTokensDefault,
+    writer: createWriter({
+      res: exchange.outgoing,
+      requestId: req.id,
+      form: model.form,
+      model: model.model,
+      invariants: options.telemetry.invariants,
+    }),
+    progress: { text: '', nextIndex: 0, finished: false },
+  };
+}
+
+async function serve(
+  context: HandlerContext,
+  exchange: Exchange,
+  model: ModelContext,
+  body: Buffer,
+): Promise<void> {
+  const { req } = model;
+  const idempotencyKey = readIdempotencyKey(exchange.incoming);
+  if (req.route.idempotent || idempotencyKey === undefined) {
+    await serveModelRequest(model, context.budget);
+    return;
+  }
+  const claim = {
+    organisation: req.organisation,
+    idempotencyKey,
+    requestId: req.id,
+    fingerprint: fingerprintRequest('POST', exchange.incoming.url ?? '', body),
+  };
+  const served = await serveClaimed(context.claims, claim, exchange.outgoing, async () => ({
+    failure: await serveModelRequest(model, context.budget),
+    answer: undefined,
+  }));
+  if (served.isErr()) context.sendError(exchange, served.error);
+}
+
+/** Handles one exchange to its end. */
+export async function handleModelRequest(
+  context: HandlerContext,
+  exchange: Exchange,
+  path: string,
+  form: ApiForm,
+): Promise<void> {
+  const { admission, options } = context;
+  const body = await readBody(exchange.incoming, options.limits.maxBodyBytes);
+  const checked = body.andThen((bytes) =>
+    parseModelRequest(form, bytes).andThen((model) =>
+      readPosition(exchange.incoming).andThen((position) =>
+        admission
+          .check(exchange, { path, model: model.model })
+          .map((permission) => ({ bytes, model, position, permission })),
+      ),
+    ),
+  );
+  if (checked.isErr()) {
+    context.sendError(exchange, checked.error);
+    return;
+  }
+  const { bytes, model, position, permission } = checked.value;
+  const started = admission.admit(exchange, permission, position?.requestId);
+  const modelContext = createContext(context, exchange, started, model);
+  try {
+    if (position === undefined) await serve(context, exchange, modelContext, bytes);
+    else await serveResumedStream(modelContext, context.budget, position);
+  } finally {
+    started.finish();
+  }
+}
--- a/packages/gateway/src/read-body.ts
+++ b/packages/gateway/src/read-body.ts
@@ -41,3 +41,14 @@
   }
   return ok(Buffer.concat(chunks));
 }
+
+/** Cuts a streamed body that exceeds the limit without having announced it. */
+export function limitBody(incoming: IncomingMessage, limitBytes: number): void {
+  let size = 0;
+  incoming.on('data', (chunk: Buffer) => {
+    size += chunk.length;
+    if (size > limitBytes) incoming.destroy(tooLarge(limitBytes));
+  });
+  // The consumer starts the flow; a listener for data would start it at once.
+  incoming.pause();
+}
--- /dev/null
+++ b/packages/gateway/src/resume-stream.ts
@@ -0,0 +1,133 @@
+/** Resumes a stream that another node began, by `Last-Event-ID`. */
+import { createError, requestId, upstreamId } from '@hibiscusbank/core';
+import type { RequestId, RouterError, UpstreamId } from '@hibiscusbank/core';
+import type { UpstreamEntry } from '@hibiscusbank/settings';
+import { err, ok } from 'neverthrow';
+import type { Result } from 'neverthrow';
+import type { FinalFailure } from './attempts.js';
+import { describeAbort } from './attempts.js';
+import { acceptTokens, tokenGapLimitMs } from './model-attempt.js';
+import type { ModelContext } from './model-attempt.js';
+import { toGrantOutcome } from './outcome.js';
+import type { RetryBudget } from './retry-budget.js';
+import { endAnswer, runModelAttempts } from './serve-model.js';
+import { createStallGuard } from './stall-guard.js';
+
+/** Place in a stream: `<request id>.<engine id>.<index>`. */
+export interface StreamPosition {
+  readonly requestId: RequestId;
+  readonly engine: UpstreamId;
+  readonly index: number;
+}
+
+const EVENT_ID = /^(req_[0-9a-f-]+)\.(.+)\.(\d+)$/;
+
+/** Parses an event id that this router gave out. Errors: `invalid_request`. */
+export function parseEventId(text: string): Result<StreamPosition, RouterError> {
+  const match = EVENT_ID.exec(text);
+  const [, id, engine, index] = match ?? [];
+  if (id === undefined || engine === undefined || index === undefined) {
+    return err(
+      createError('invalid_request', 'Last-Event-ID is not an id of a stream of this router', {
+        effect: 'not_run',
+      }),
+    );
+  }
+  return ok({ requestId: requestId(id), engine: upstreamId(engine), index: Number(index) });
+}
+
+function findEngine(context: ModelContext, position: StreamPosition): UpstreamEntry | undefined {
+  const pool = context.options.configuration.pools().get(context.req.route.pool);
+  return pool?.upstreams.find((upstream) => upstream.id === position.engine);
+}
+
+interface ResumeEnd {
+  readonly attempt: number;
+  readonly result: Result<void, RouterError>;
+}
+
+/**
+ * Reads the stream from its beginning, so that this node knows the whole text and can continue on
+ * another engine; the caller gets only what follows its last event.
+ */
+async function readStream(
+  context: ModelContext,
+  position: StreamPosition,
+  engine: UpstreamEntry,
+): Promise<ResumeEnd> {
+  const { options, req, progress, writer } = context;
+  const guard = createStallGuard(req.signal, tokenGapLimitMs(req), 'resumed stream');
+  let attempt = 1;
+  let isFirst = true;
+  const result = await options.engines.resume({
+    requestId: position.requestId,
+    attempt,
+    address: engine.address,
+    lastIndex: -1,
+    signal: guard.signal,
+    onOwner: (owner) => {
+      attempt = owner.attempt;
+      if (owner.organisation === req.organisation) return undefined;
+      return createError('forbidden', 'the stream belongs to another organisation', {
+        effect: 'not_run',
+      });
+    },
+    onTokens: (tokens) => {
+      guard.touch(tokenGapLimitMs(req));
+      const [first] = tokens;
+      if (isFirst && first !== undefined) {
+        isFirst = false;
+        progress.nextIndex = first.index;
+        // An engine that continued another one's answer does not know the text before it.
+        if (first.index > 0) progress.text = undefined;
+      }
+      const accepted = acceptTokens(progress, tokens);
+      const missed = accepted.filter((token) => token.index > position.index);
+      if (missed.length > 0) writer.writeTokens(missed, engine.id);
+    },
+  });
+  guard.stop();
+  return { attempt, result: progress.finished ? ok(undefined) : result };
+}
+
+async function resume(
+  context: ModelContext,
+  budget: RetryBudget,
+  position: StreamPosition,
+): Promise<Result<void, FinalFailure>> {
+  const { options, req, progress } = context;
+  const engine = findEngine(context, position);
+  const gone = createError(
+    'not_found',
+    'the stream is no longer kept; send the request again without Last-Event-ID',
+  );
+  if (engine === undefined) return err({ error: gone, effect: 'unknown' });
+  const grant = await options.scheduler.adopt(position.requestId, engine.id);
+  const { attempt, result } = await readStream(context, position, engine);
+  if (result.isErr()) {
+    void options.engines.cancel(engine.address, { requestId: position.requestId, attempt });
+  }
+  if (grant !== undefined) {
+    const outcome = result.isOk() ? 'completed' : toGrantOutcome(result.error, req.signal);
+    options.scheduler.release(grant, { outcome, upstream: engine.id });
+  }
+  if (result.isOk()) return ok(undefined);
+  if (req.signal.aborted) return err({ error: describeAbort(req.signal), effect: 'unknown' });
+  if (result.error.kind === 'forbidden') return err({ error: result.error, effect: 'not_run' });
+  const canContinue =
+    req.route.idempotent && progress.text !== undefined && progress.nextIndex > position.index;
+  if (!canContinue) return err({ error: gone, effect: 'unknown' });
+  return runModelAttempts(context, budget, attempt + 1, [engine.id]);
+}
+
+/** Serves a resumed stream to its end. It was charged when it was first admitted. */
+export async function serveResumedStream(
+  context: ModelContext,
+  budget: RetryBudget,
+  position: StreamPosition,
+): Promise<void> {
+  const { options, req, model } = context;
+  options.telemetry.log('streamResumed', { request: req.id, engine: position.engine });
+  const result = await resume(context, budget, position);
+  endAnswer(context, options.countTokens(model.prompt), result);
+}
--- a/packages/gateway/src/serve-model.ts
+++ b/packages/gateway/src/serve-model.ts
@@ -1,109 +1,117 @@
 /** Serves a model request: charge, attempts, answer. */
 import { createError, hashPrefixes } from '@hibiscusbank/core';
-import type { Effect, RouterError, UpstreamId } from '@hibiscusbank/core';
+import type { Effect, UpstreamId } from '@hibiscusbank/core';
 import type { Charge } from '@hibiscusbank/quota';
-import type { Grant, PlacementRequest } from '@hibiscusbank/scheduler';
-import { err, ok } from 'neverthrow';
+import type { PlacementRequest } from '@hibiscusbank/scheduler';
+import { err } from 'neverthrow';
 import type { Result } from 'neverthrow';
+import { runAttempts } from './attempts.js';
+import type { FinalFailure } from './attempts.js';
 import { runModelAttempt } from './model-attempt.js';
-import type { AttemptContext } from './model-attempt.js';
+import type { ModelContext } from './model-attempt.js';
 import type { RetryBudget } from './retry-budget.js';
 
-/** Attempts of one request, the first included. */
-export const MAX_ATTEMPTS = 4;
-
-interface FinalFailure {
-  readonly error: RouterError;
-  readonly effect: Effect;
-}
-
-function timeLeft(context: AttemptContext, limitMs: number): number {
-  return limitMs - (performance.now() - context.req.startedAtMs);
-}
-
-/** The abort reason tells a disconnected caller from the time limit. */
-function describeAbort(signal: AbortSignal): RouterError {
-  return signal.reason instanceof Error && signal.reason.name === 'timeout'
-    ? (signal.reason as RouterError)
-    : createError('cancelled', 'the caller disconnected');
-}
-
-function createPlacementRequest(
-  context: AttemptContext,
-  attempt: number,
+function createPlacement(
+  context: ModelContext,
   prefixHashes: readonly number[],
+  attempt: number,
   exclude: readonly UpstreamId[],
 ): PlacementRequest {
   const { options, req, model, progress, maxTokens } = context;
   const { route } = req;
-  const waitLimitMs = progress.nextIndex === 0 ? route.patienceMs : route.timeLimitMs;
+  const elapsedMs = performance.now() - req.startedAtMs;
+  const left = (limitMs: number): number => Math.max(0, limitMs - elapsedMs);
+  const tokensLeft = maxTokens - progress.nextIndex;
   return {
     requestId: req.id,
     attempt,
     organisation: req.organisation,
     pool: route.pool,
-    promptTokens: options.countTokens(model.prompt + progress.text),
-    expectedTokens: maxTokens - progress.nextIndex,
-    maxTokens: maxTokens - progress.nextIndex,
+    promptTokens: options.countTokens(model.prompt + (progress.text ?? '')),
+    expectedTokens: tokensLeft,
+    maxTokens: tokensLeft,
     prefixHashes,
     urgency: route.urgency,
-    firstTokenTargetMs: Math.max(0, timeLeft(context, route.firstTokenTargetMs)),
-    patienceMs: Math.max(0, timeLeft(context, waitLimitMs)),
-    timeLimitMs: Math.max(0, timeLeft(context, route.timeLimitMs)),
+    firstTokenTargetMs: left(route.firstTokenTargetMs),
+    // A caller that has part of its answer waits for the rest until the limit of the request.
+    patienceMs: left(progress.nextIndex === 0 ? route.patienceMs : route.timeLimitMs),
+    timeLimitMs: left(route.timeLimitMs),
     exclude,
   };
 }
 
-async function runAttempts(
-  context: AttemptContext,
+/** Runs the attempts of a request from a given attempt on. */
+export function runModelAttempts(
+  context: ModelContext,
   budget: RetryBudget,
-): Promise<Result<Grant, FinalFailure>> {
+  firstAttempt: number,
+  exclude: readonly UpstreamId[],
+): Promise<Result<void, FinalFailure>> {
   const { options, req, model } = context;
   const prefixHashes = hashPrefixes(model.prompt);
-  const exclude: UpstreamId[] = [];
-  let effect: Effect = 'not_run';
-  let lastError = createError('no_capacity', 'no attempt was possible; retry later');
-  budget.recordRequest(req.route.pool);
-  for (let attempt = 1; attempt <= MAX_ATTEMPTS; attempt += 1) {
-    const placed = await options.scheduler.place(
-      createPlacementRequest(context, attempt, prefixHashes, exclude),
-      req.signal,
-    );
-    if (placed.isErr()) {
-      return err({ error: req.signal.aborted ? describeAbort(req.signal) : placed.error, effect });
-    }
-    const grant = placed.value;
-    if (grant.target.kind !== 'model') {
+  return runAttempts({
+    options,
+    req,
+    budget,
+    firstAttempt,
+    exclude,
+    createPlacement: (attempt, excluded) =>
+      createPlacement(context, prefixHashes, attempt, excluded),
+    run: async (grant) => {
+      if (grant.target.kind === 'model') return runModelAttempt(context, grant, grant.target);
       options.scheduler.release(grant, { outcome: 'unused' });
       return err({
-        error: createError('not_found', `pool ${grant.pool} has no engines; correct the route`),
-        effect,
+        error: createError('not_found', `pool ${grant.pool} has no engines; correct the route`, {
+          effect: 'not_run',
+        }),
+        upstream: grant.target.server.upstream,
       });
-    }
-    const result = await runModelAttempt(context, grant, grant.target);
-    if (result.isOk()) return ok(grant);
-    const { error, upstream } = result.error;
-    lastError = error;
-    if (error.effect !== 'not_run') effect = 'unknown';
-    if (req.signal.aborted) return err({ error: describeAbort(req.signal), effect });
-    if (!req.route.idempotent && effect === 'unknown') break;
-    if (!budget.takeRetry(req.route.pool)) break;
-    exclude.push(upstream);
+    },
+    mayRepeat: (effect: Effect) =>
+      (req.route.idempotent || effect === 'not_run') && context.progress.text !== undefined,
+  });
+}
+
+function refundUnused(
+  context: ModelContext,
+  charge: Charge,
+  promptTokens: number,
+  result: Result<void, FinalFailure>,
+): void {
+  const untouched = result.isErr() && result.error.effect === 'not_run';
+  const used = untouched ? 0 : promptTokens + context.progress.nextIndex;
+  const unused = charge.tokens - used;
+  if (unused > 0) context.options.quota.refund(charge, unused);
+}
+
+/** Writes the end of an answer, or the error. */
+export function endAnswer(
+  context: ModelContext,
+  promptTokens: number,
+  result: Result<void, FinalFailure>,
+): void {
+  const { options, req, writer } = context;
+  if (result.isOk()) {
+    writer.finish(promptTokens);
+    return;
   }
-  return err({ error: lastError, effect });
+  const { error, effect } = result.error;
+  options.telemetry.metrics.refusals.inc({ kind: error.kind });
+  options.telemetry.log('requestRefused', { request: req.id, kind: error.kind, effect });
+  writer.fail(error, effect);
 }
 
-/** Serves one admitted request to its end. Never rejects. */
+/** Serves one admitted request to its end. Never rejects. Returns what failed, if anything. */
 export async function serveModelRequest(
-  context: AttemptContext,
+  context: ModelContext,
   budget: RetryBudget,
-): Promise<void> {
-  const { options, req, model, progress, writer, maxTokens } = context;
-  const { quota, telemetry } = options;
+): Promise<FinalFailure | undefined> {
+  const { options, req, model, maxTokens } = context;
   const promptTokens = options.countTokens(model.prompt);
+  budget.recordRequest(req.route.pool);
   let charge: Charge | undefined;
   if (req.organisation !== undefined) {
-    const debited = await quota.debit({
+    const debited = await options.quota.debit({
       organisation: req.organisation,
       requestId: req.id,
       tokens: promptTokens + maxTokens,
@@ -111,25 +119,14 @@
       signal: req.signal,
     });
     if (debited.isErr()) {
-      telemetry.metrics.refusals.inc({ kind: debited.error.kind });
-      telemetry.log('requestRefused', { request: req.id, kind: debited.error.kind });
-      writer.fail(debited.error, 'not_run');
-      return;
+      const failure: FinalFailure = { error: debited.error, effect: 'not_run' };
+      endAnswer(context, promptTokens, err(failure));
+      return failure;
     }
     charge = debited.value;
   }
-  const result = await runAttempts(context, budget);
-  if (charge !== undefined) {
-    const untouched = result.isErr() && result.error.effect === 'not_run';
-    const used = untouched ? 0 : promptTokens + progress.nextIndex;
-    quota.refund(charge, Math.max(0, charge.tokens - used));
-  }
-  if (result.isErr()) {
-    const { error, effect } = result.error;
-    telemetry.metrics.refusals.inc({ kind: error.kind });
-    telemetry.log('requestRefused', { request: req.id, kind: error.kind, effect });
-    writer.fail(error, effect);
-    return;
-  }
-  writer.finish(promptTokens);
+  const result = await runModelAttempts(context, budget, 1, []);
+  if (charge !== undefined) refundUnused(context, charge, promptTokens, result);
+  endAnswer(context, promptTokens, result);
+  return result.isErr() ? result.error : undefined;
 }
--- a/packages/gateway/src/serve-plain.ts
+++ b/packages/gateway/src/serve-plain.ts
@@ -1,188 +1,181 @@
 /** Serves a request to a plain upstream. */
-import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { ServerResponse } from 'node:http';
+import type { Readable } from 'node:stream';
 import { pipeline } from 'node:stream/promises';
-import { createError } from '@hibiscusbank/core';
-import type { Effect, RouterError, UpstreamId } from '@hibiscusbank/core';
-import type { UpstreamAnswer } from '@hibiscusbank/engines';
-import type { Grant, GrantOutcome } from '@hibiscusbank/scheduler';
-import { err, ok } from 'neverthrow';
-import type { Result } from 'neverthrow';
+import type { UpstreamId } from '@hibiscusbank/core';
+import type { Charge } from '@hibiscusbank/quota';
+import type { Grant, PlacementRequest } from '@hibiscusbank/scheduler';
+import { runAttempts } from './attempts.js';
+import type { FinalFailure } from './attempts.js';
+import type { StoredAnswer } from './claims.js';
 import { formatError, OUTCOME_HEADER } from './error-response.js';
-import { createCallerHeaders, createUpstreamHeaders } from './headers.js';
+import { createCallerHeaders } from './headers.js';
+import type { LatencyWindow } from './latency-window.js';
+import { sendHedged, sendPlain } from './plain-attempt.js';
+import type { PlainExchange, PlainSuccess } from './plain-attempt.js';
 import type { RetryBudget } from './retry-budget.js';
-import { MAX_ATTEMPTS } from './serve-model.js';
-import type { AdmittedRequest, GatewayOptions } from './types.js';
 
-export interface PlainContext {
-  readonly options: GatewayOptions;
-  readonly req: AdmittedRequest;
-  readonly incoming: IncomingMessage;
+/** Largest answer kept for repeats of an idempotency key. */
+export const MAX_STORED_ANSWER_BYTES = 16 * 1024;
+
+/** Attempt numbers of second attempts, apart from those of retries. */
+const HEDGE_ATTEMPT_OFFSET = 100;
+
+export interface PlainContext extends PlainExchange {
   readonly outgoing: ServerResponse;
-  /** The whole body when it is small; otherwise it is streamed and can be sent once. */
-  readonly body: Buffer | undefined;
   readonly budget: RetryBudget;
+  readonly latencies: LatencyWindow;
+  /** Whether the answer is kept for repeats. */
+  readonly keepsAnswer: boolean;
 }
 
-interface PlainFailure {
-  readonly error: RouterError;
-  readonly effect: Effect;
+/** How a plain request ended. */
+export interface PlainEnd {
+  readonly failure: FinalFailure | undefined;
+  readonly answer: StoredAnswer | undefined;
 }
 
-interface PlainSuccess {
-  readonly answer: UpstreamAnswer;
-  readonly grant: Grant;
-  readonly startedAt: number;
-}
-
-function refusePlain(context: PlainContext, failure: PlainFailure): void {
+/** Refuses a request whose response has not begun; cuts it otherwise. */
+export function refusePlain(context: PlainContext, failure: FinalFailure): PlainEnd {
   const { options, req, outgoing } = context;
-  options.telemetry.metrics.refusals.inc({ kind: failure.error.kind });
-  options.telemetry.log('requestRefused', {
-    request: req.id,
-    kind: failure.error.kind,
-    effect: failure.effect,
-  });
-  const formatted = formatError(failure.error, failure.effect);
+  const { error, effect } = failure;
+  options.telemetry.metrics.refusals.inc({ kind: error.kind });
+  options.telemetry.log('requestRefused', { request: req.id, kind: error.kind, effect });
+  const formatted = formatError(error, effect);
   if (outgoing.headersSent) {
     outgoing.destroy();
-    return;
+  } else {
+    outgoing.writeHead(formatted.status, { ...formatted.headers, 'x-request-id': req.id });
+    outgoing.end(formatted.body);
   }
-  outgoing.writeHead(formatted.status, { ...formatted.headers, 'x-request-id': req.id });
-  outgoing.end(formatted.body);
+  return { failure, answer: undefined };
 }
 
-function classifyOutcome(error: RouterError, signal: AbortSignal): GrantOutcome {
-  if (error.kind === 'upstream_cold') return 'cold';
-  if (error.kind === 'upstream_refused') return 'refused';
-  return signal.aborted ? 'cancelled' : 'failed';
+function createPlacement(
+  { req }: PlainContext,
+  attempt: number,
+  exclude: readonly UpstreamId[],
+): PlacementRequest {
+  const { route } = req;
+  const elapsedMs = performance.now() - req.startedAtMs;
+  const left = (limitMs: number): number => Math.max(0, limitMs - elapsedMs);
+  return {
+    requestId: req.id,
+    attempt,
+    organisation: req.organisation,
+    pool: route.pool,
+    promptTokens: 0,
+    expectedTokens: route.requestCost,
+    maxTokens: 0,
+    prefixHashes: [],
+    urgency: route.urgency,
+    firstTokenTargetMs: left(route.firstTokenTargetMs),
+    patienceMs: left(route.patienceMs),
+    timeLimitMs: left(route.timeLimitMs),
+    exclude,
+  };
 }
 
-async function sendAttempt(
+async function placeSecond(
   context: PlainContext,
-  grant: Grant,
-  server: { upstream: UpstreamId; address: string },
-): Promise<Result<PlainSuccess, RouterError>> {
-  const { options, req, incoming, body } = context;
-  const startedAt = performance.now();
-  const sent = await options.upstreams.send({
-    address: server.address,
-    method: incoming.method ?? 'GET',
-    path: incoming.url ?? '/',
-    headers: createUpstreamHeaders(incoming.headers, req, grant.attempt),
-    body: body ?? incoming,
-    signal: req.signal,
-  });
-  const result = sent.isOk() ? 'completed' : 'failed';
-  options.telemetry.metrics.attempts.inc({ pool: grant.pool, result });
-  if (sent.isOk()) return ok({ answer: sent.value, grant, startedAt });
-  const { error } = sent;
-  const outcome = classifyOutcome(error, req.signal);
-  options.scheduler.release(grant, { outcome, upstream: server.upstream });
-  options.telemetry.log('attemptFailed', {
-    request: req.id,
-    attempt: grant.attempt,
-    upstream: server.upstream,
-    kind: error.kind,
-  });
-  return err(error);
+  first: Grant,
+  exclude: UpstreamId,
+): Promise<Grant | undefined> {
+  const placement = createPlacement(context, first.attempt, [exclude]);
+  // The engine-side hold and the grant are filed under another attempt number than the first's.
+  const second = { ...placement, attempt: first.attempt + HEDGE_ATTEMPT_OFFSET, patienceMs: 0 };
+  const placed = await context.options.scheduler.place(second, context.req.signal);
+  return placed.isOk() ? placed.value : undefined;
 }
 
-async function runAttempts(context: PlainContext): Promise<Result<PlainSuccess, PlainFailure>> {
-  const { options, req, body, budget } = context;
+function sendAttempt(context: PlainContext, grant: Grant): ReturnType<typeof sendPlain> {
+  const { req, budget, latencies } = context;
   const { route } = req;
-  const exclude: UpstreamId[] = [];
-  let effect: Effect = 'not_run';
-  let lastError = createError('no_capacity', 'no attempt was possible; retry later');
-  budget.recordRequest(route.pool);
-  for (let attempt = 1; attempt <= MAX_ATTEMPTS; attempt += 1) {
-    const elapsedMs = performance.now() - req.startedAtMs;
-    const placed = await options.scheduler.place(
-      {
-        requestId: req.id,
-        attempt,
-        organisation: req.organisation,
-        pool: route.pool,
-        promptTokens: 0,
-        expectedTokens: route.requestCost,
-        maxTokens: 0,
-        prefixHashes: [],
-        urgency: route.urgency,
-        firstTokenTargetMs: Math.max(0, route.firstTokenTargetMs - elapsedMs),
-        patienceMs: Math.max(0, route.patienceMs - elapsedMs),
-        timeLimitMs: Math.max(0, route.timeLimitMs - elapsedMs),
-        exclude,
-      },
-      req.signal,
-    );
-    if (placed.isErr()) return err({ error: placed.error, effect });
-    const grant = placed.value;
-    if (grant.target.kind !== 'plain') {
-      options.scheduler.release(grant, { outcome: 'unused' });
-      return err({
-        error: createError('not_found', `pool ${grant.pool} has no servers; correct the route`),
-        effect,
-      });
-    }
-    const { server } = grant.target;
-    const sent = await sendAttempt(context, grant, server);
-    if (sent.isOk()) return ok(sent.value);
-    lastError = sent.error;
-    if (lastError.effect !== 'not_run') effect = 'unknown';
-    const mayRepeat = body !== undefined && (route.idempotent || effect === 'not_run');
-    if (!mayRepeat || req.signal.aborted || !budget.takeRetry(route.pool)) break;
-    exclude.push(server.upstream);
-  }
-  return err({ error: lastError, effect });
+  const isHedged = route.idempotent && route.urgency === 'urgent' && context.body !== undefined;
+  if (!isHedged) return sendPlain(context, grant, req.signal);
+  return sendHedged(context, grant, {
+    window: latencies,
+    takeRetry: () => budget.takeRetry(route.pool),
+    placeSecond: (exclude) => placeSecond(context, grant, exclude),
+  });
+}
+
+/** Copies the body while it is small enough to be kept. */
+function keepBody(body: Readable): () => Buffer | undefined {
+  const chunks: Buffer[] = [];
+  let size = 0;
+  body.on('data', (chunk: Buffer) => {
+    size += chunk.length;
+    if (size <= MAX_STORED_ANSWER_BYTES) chunks.push(chunk);
+  });
+  return () => (size <= MAX_STORED_ANSWER_BYTES ? Buffer.concat(chunks) : undefined);
 }
 
-async function relayAnswer(context: PlainContext, success: PlainSuccess): Promise<void> {
+async function relayAnswer(context: PlainContext, success: PlainSuccess): Promise<PlainEnd> {
   const { options, req, outgoing } = context;
-  const { answer, grant, startedAt } = success;
-  const latencyMs = performance.now() - startedAt;
+  const { answer, grant, latencyMs, upstream } = success;
   outgoing.writeHead(answer.status, {
     ...createCallerHeaders(answer.headers),
     'x-request-id': req.id,
     [OUTCOME_HEADER]: 'answered',
   });
-  const upstream = grant.target.kind === 'plain' ? grant.target.server.upstream : undefined;
-  const named = upstream === undefined ? {} : { upstream };
+  const readKept = context.keepsAnswer ? keepBody(answer.body) : () => undefined;
   try {
     await pipeline(answer.body, outgoing);
-    options.scheduler.release(grant, { outcome: 'completed', latencyMs, ...named });
   } catch {
     // The status line is out, so the caller learns of the failure from the cut body.
     outgoing.destroy();
     const outcome = req.signal.aborted ? 'cancelled' : 'failed';
-    options.scheduler.release(grant, { outcome, latencyMs, ...named });
+    options.scheduler.release(grant, { outcome, latencyMs, upstream });
+    return { failure: undefined, answer: undefined };
   }
+  context.latencies.record(latencyMs);
+  options.scheduler.release(grant, { outcome: 'completed', latencyMs, upstream });
+  const body = readKept();
+  if (body === undefined) return { failure: undefined, answer: undefined };
+  const type = answer.headers['content-type'];
+  return {
+    failure: undefined,
+    answer: {
+      status: answer.status,
+      headers: type === undefined ? {} : { 'content-type': type },
+      bodyBase64: body.toString('base64'),
+    },
+  };
 }
 
 /** Serves one admitted request to its end. Never rejects. */
-export async function servePlainRequest(context: PlainContext): Promise<void> {
-  const { options, req } = context;
+export async function servePlainRequest(context: PlainContext): Promise<PlainEnd> {
+  const { options, req, budget } = context;
+  const { route } = req;
+  budget.recordRequest(route.pool);
+  let charge: Charge | undefined;
   if (req.organisation !== undefined) {
     const debited = await options.quota.debit({
       organisation: req.organisation,
       requestId: req.id,
-      tokens: req.route.requestCost,
-      waitMs: req.route.patienceMs,
+      tokens: route.requestCost,
+      waitMs: route.patienceMs,
       signal: req.signal,
     });
     if (debited.isErr()) {
-      refusePlain(context, { error: debited.error, effect: 'not_run' });
-      return;
-    }
-    const result = await runAttempts(context);
-    if (result.isErr()) {
-      if (result.error.effect === 'not_run')
-        options.quota.refund(debited.value, req.route.requestCost);
-      refusePlain(context, result.error);
-      return;
+      return refusePlain(context, { error: debited.error, effect: 'not_run' });
     }
-    await relayAnswer(context, result.value);
-    return;
+    charge = debited.value;
+  }
+  const result = await runAttempts({
+    options,
+    req,
+    budget,
+    firstAttempt: 1,
+    exclude: [],
+    createPlacement: (attempt, exclude) => createPlacement(context, attempt, exclude),
+    run: (grant) => sendAttempt(context, grant),
+    mayRepeat: (effect) => context.body !== undefined && (route.idempotent || effect === 'not_run'),
+  });
+  if (result.isOk()) return relayAnswer(context, result.value);
+  if (charge !== undefined && result.error.effect === 'not_run') {
+    options.quota.refund(charge, charge.tokens);
   }
-  const result = await runAttempts(context);
-  if (result.isErr()) refusePlain(context, result.error);
-  else await relayAnswer(context, result.value);
+  return refusePlain(context, result.error);
 }
--- a/packages/gateway/src/types.ts
+++ b/packages/gateway/src/types.ts
@@ -1,11 +1,22 @@
 /** What the gateway needs from the other modules. */
-import type { OrganisationId, RequestId, Telemetry, TokenCounter, VmId } from '@hibiscusbank/core';
+import type {
+  OrganisationId,
+  RequestId,
+  RouterError,
+  Telemetry,
+  TokenCounter,
+  VmId,
+} from '@hibiscusbank/core';
 import type { ConfigurationReplica } from '@hibiscusbank/configuration';
 import type { EnginePort, UpstreamPort } from '@hibiscusbank/engines';
 import type { ObjectApi } from '@hibiscusbank/platform';
 import type { Quota } from '@hibiscusbank/quota';
 import type { Scheduler } from '@hibiscusbank/scheduler';
 import type { NodeLimits, RouteEntry } from '@hibiscusbank/settings';
+import type { Admission, Exchange } from './admission.js';
+import type { Claims } from './claims.js';
+import type { LatencyWindow } from './latency-window.js';
+import type { RetryBudget } from './retry-budget.js';
 
 export interface GatewayOptions {
   readonly vm: VmId;
@@ -30,6 +41,19 @@
   readonly startedAtMs: number;
   /** Aborted when the caller disconnects or the time limit passes. */
   readonly signal: AbortSignal;
+  /** Whether the caller's key is still good; it can be withdrawn while the request waits. */
+  readonly isAllowed: () => boolean;
+}
+
+/** What the handlers of all paths share. */
+export interface HandlerContext {
+  readonly options: GatewayOptions;
+  readonly admission: Admission;
+  readonly claims: Claims;
+  readonly budget: RetryBudget;
+  readonly latencies: (pool: string) => LatencyWindow;
+  /** Answers an exchange that was not admitted. */
+  readonly sendError: (exchange: Exchange, error: RouterError) => void;
 }
 
 export interface Gateway {
@@ -37,6 +61,8 @@
   /** Port that the gateway listens on. */
   port(): number;
   activeRequests(): number;
+  /** Answers with `Connection: close` from now on, so that callers reconnect elsewhere. */
+  beginDrain(): void;
   /** Waits for running requests, at most `timeoutMs`; returns how many were left. */
   waitUntilIdle(timeoutMs: number): Promise<number>;
   /** Closes idle connections and stops listening. */
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -100,6 +100,7 @@
     drain: async () => {
       draining = true;
       telemetry.log('nodeDraining', { active: gateway.activeRequests() });
+      gateway.beginDrain();
       await membership.leave();
       await scheduler.leave();
       await gateway.waitUntilIdle(settings.limits.drainTimeoutMs);
--- a/packages/scheduler/src/local-scheduler.ts
+++ b/packages/scheduler/src/local-scheduler.ts
@@ -104,7 +104,7 @@
       const { target } = grant;
       count(target.kind === 'plain' ? target.server.upstream : target.decode.upstream, -1);
     },
-    adopt: async () => {},
+    adopt: async () => undefined,
     ownedCells: () => [],
     explain: () => [],
     start: async () => {},
--- a/packages/scheduler/src/types.ts
+++ b/packages/scheduler/src/types.ts
@@ -112,8 +112,8 @@
   finishPrefill(grant: Grant, report: ReleaseReport): void;
   /** Ends a grant; retried until the owner has it. */
   release(grant: Grant, report: ReleaseReport): void;
-  /** Takes over the hold of a stream that another node began. */
-  adopt(requestId: RequestId, attempt: number, upstream: UpstreamId): Promise<void>;
+  /** Takes over the grant of a stream that another node began; `undefined` when it is gone. */
+  adopt(requestId: RequestId, upstream: UpstreamId): Promise<Grant | undefined>;
   /** Cells that this node owns. */
   ownedCells(): readonly CellSummary[];
   /** Describes the cells and owners that a request for a pool may go to. */
