--- a/eslint.config.js
+++ b/eslint.config.js
@@ -37,4 +37,9 @@
       'max-lines': ['error', { max: 350, skipBlankLines: true, skipComments: true }],
     },
   },
+  {
+    files: ['packages/*/test/**'],
+    // neverthrow names the accessors for tests with an underscore.
+    rules: { 'no-underscore-dangle': ['error', { allow: ['_unsafeUnwrap', '_unsafeUnwrapErr'] }] },
+  },
 ];
--- /dev/null
+++ b/packages/gateway/test/http.test.ts
@@ -0,0 +1,119 @@
+import { digestKey } from '@hibiscusbank/configuration';
+import type { TenantKey } from '@hibiscusbank/configuration';
+import { organisationId } from '@hibiscusbank/core';
+import { request } from 'undici';
+import { afterEach, expect, test } from 'vitest';
+import { createGateway } from '../src/gateway.js';
+import type { Gateway } from '../src/types.js';
+import {
+  createFakeConfiguration,
+  createFakeEngines,
+  createOptions,
+  createRoute,
+  emitTokens,
+  ORGANISATION,
+} from './support/fakes.js';
+
+const keys = new Map<string, TenantKey>();
+const running: Gateway[] = [];
+
+function issueKey(key: string, organisation: string): void {
+  const digest = digestKey(key);
+  keys.set(digest, {
+    digest,
+    organisation: organisationId(organisation),
+    withdrawn: false,
+    hint: key.slice(0, 4),
+  });
+}
+
+async function startGateway(areKeysConfirmed = true): Promise<string> {
+  issueKey('sk-good', ORGANISATION);
+  issueKey('sk-other', 'werkbankdienst');
+  const { engines } = createFakeEngines((call) => {
+    emitTokens(call, 3, true);
+    return undefined;
+  });
+  const gateway = createGateway(
+    createOptions({
+      engines,
+      configuration: createFakeConfiguration({
+        routes: () => [createRoute()],
+        findKey: (digest) => keys.get(digest),
+        areKeysConfirmed: () => areKeysConfirmed,
+      }),
+    }),
+  );
+  running.push(gateway);
+  await gateway.start();
+  return `http://127.0.0.1:${gateway.port()}`;
+}
+
+afterEach(async () => {
+  await Promise.all(running.splice(0).map((gateway) => gateway.kill()));
+  keys.clear();
+});
+
+async function send(url: string, key: string | undefined, body: string) {
+  const res = await request(url, {
+    method: 'POST',
+    headers: key === undefined ? {} : { authorization: `Bearer ${key}` },
+    body,
+  });
+  const text = await res.body.text();
+  return { status: res.statusCode, outcome: res.headers['x-hibiscusbank-outcome'], text };
+}
+
+const valid = JSON.stringify({ model: 'm', messages: [{ role: 'user', content: 'hi' }] });
+const chat = '/v1/chat/completions';
+
+test.each([
+  ['a missing key', undefined, valid, chat, 401, 'Authorization'],
+  ['an unknown key', 'sk-wrong', valid, chat, 401, 'withdrawn'],
+  ['a key of an organisation off the route', 'sk-other', valid, chat, 403, 'ask the operator'],
+  ['an unknown path', 'sk-good', valid, '/nowhere', 404, 'routes table'],
+  ['malformed JSON', 'sk-good', '{"model":', chat, 400, 'not valid JSON'],
+  ['a body without messages', 'sk-good', '{"model":"m"}', chat, 400, 'messages'],
+  ['a body over the limit', 'sk-good', ' '.repeat(20_000), chat, 413, '10000 bytes'],
+])('refuses %s as not run', async (_name, key, body, path, status, remedy) => {
+  const url = await startGateway();
+  const res = await send(`${url}${path}`, key, body);
+  expect(res).toMatchObject({ status, outcome: 'not_run' });
+  expect(JSON.parse(res.text)).toMatchObject({ error: { outcome: 'not_run', code: status } });
+  expect(res.text).toContain(remedy);
+});
+
+test('keys are refused while they cannot be confirmed', async () => {
+  const url = await startGateway(false);
+  expect(await send(`${url}${chat}`, 'sk-good', valid)).toMatchObject({ status: 503 });
+});
+
+test('answers a request in one body', async () => {
+  const url = await startGateway();
+  const res = await send(`${url}${chat}`, 'sk-good', valid);
+  expect(res).toMatchObject({ status: 200, outcome: 'answered' });
+  expect(JSON.parse(res.text)).toMatchObject({
+    choices: [{ message: { content: 'w0 w1 w2 ' }, finish_reason: 'length' }],
+    usage: { completion_tokens: 3 },
+  });
+});
+
+test('a key withdrawn between two requests on one connection stops the second', async () => {
+  const url = await startGateway();
+  expect(await send(`${url}${chat}`, 'sk-good', valid)).toMatchObject({ status: 200 });
+  keys.delete(digestKey('sk-good'));
+  expect(await send(`${url}${chat}`, 'sk-good', valid)).toMatchObject({ status: 401 });
+});
+
+test('streams carry ids from which any node can resume', async () => {
+  const url = await startGateway();
+  const res = await send(
+    `${url}${chat}`,
+    'sk-good',
+    JSON.stringify({ ...JSON.parse(valid), stream: true }),
+  );
+  const ids = [...res.text.matchAll(/^id: (.+)$/gm)].map((match) => match[1]);
+  expect(ids).toHaveLength(3);
+  expect(ids[2]).toMatch(/^req_[0-9a-f-]+\.d1\.2$/);
+  expect(res.text.endsWith('data: [DONE]\n\n')).toBe(true);
+});
