--- a/packages/core/src/events.ts
+++ b/packages/core/src/events.ts
@@ -16,7 +16,7 @@
 
 /**
  * All events by name. Ranges: 1000 node, 1100 configuration, 1200 membership, 1300 quota,
- * 1400 scheduler, 1500 gateway, 1600 platform, 1900 invariants.
+ * 1400 scheduler, 1500 gateway, 1600 platform, 1700 reconciliation with engines, 1900 invariants.
  */
 export const events = {
   nodeStarted: define(1001, 'info', 'node started'),
@@ -46,6 +46,11 @@
   attemptFailed: define(1504, 'warn', 'attempt failed'),
   streamResumed: define(1505, 'info', 'stream resumed'),
 
+  orphanCancelled: define(1701, 'warn', 'hold of a request that is gone cancelled'),
+  cacheEventGap: define(1702, 'info', 'gap in cache events; resynchronising'),
+  engineOrdered: define(1703, 'info', 'engine ordered'),
+  engineOrderFailed: define(1704, 'warn', 'engine order failed'),
+
   invariantViolated: define(1901, 'error', 'invariant violated'),
 } as const satisfies Record<string, EventDefinition>;
 
