Emulate engines, upstreams and the platform in the stand-ins

The stand-ins answered without limits, so that tests could not bring about a full engine, an expired KV export, a lost answer or a cold start.

The engine now has slots, memory, a prefix cache, KV exports with a time limit, a shared link, resumable streams, orders and cold starts; the upstream counts runs and can be cold, late or cut; the object API has watches with bounded history, rate limits, outages and lost answers; the VM list lags; the weight store has a rate. Every stand-in takes faults through POST /control/faults. Answers are deterministic, so that a caller can verify a whole answer.

--- a/packages/cli/src/standin-command.ts
+++ b/packages/cli/src/standin-command.ts
@@ -1,34 +1,87 @@
 /** `hibiscusbank standin`: runs one stand-in in the foreground. */
-import { startEngine, startObjectStore, startUpstream, startVmList } from '@hibiscusbank/standins';
+import {
+  ENGINE_DEFAULTS,
+  OBJECT_API_DEFAULTS,
+  UPSTREAM_DEFAULTS,
+  VM_LIST_DEFAULTS,
+  WEIGHT_STORE_DEFAULTS,
+  startEngine,
+  startObjectApi,
+  startUpstream,
+  startVmList,
+  startWeightStore,
+} from '@hibiscusbank/standins';
 import type { StandinServer } from '@hibiscusbank/standins';
-import { command, number, oneOf, option, positional } from 'cmd-ts';
+import { command, multioption, array, number, oneOf, option, positional, string } from 'cmd-ts';
 
-const kinds = ['object-api', 'vm-list', 'engine', 'upstream'] as const;
+const kinds = ['object-api', 'vm-list', 'weight-store', 'engine', 'upstream'] as const;
 type Kind = (typeof kinds)[number];
+type Options = Record<string, unknown>;
 
-const DEFAULT_TOKEN_MS = 20;
-const DEFAULT_PREFILL_TOKENS_PER_MS = 10;
-
-const starters: Record<Kind, (port: number) => Promise<StandinServer>> = {
-  'object-api': startObjectStore,
-  'vm-list': (port) => startVmList(port),
-  engine: (port) =>
-    startEngine(port, {
-      tokenMs: DEFAULT_TOKEN_MS,
-      prefillTokensPerMs: DEFAULT_PREFILL_TOKENS_PER_MS,
-    }),
+const starters: Record<Kind, (port: number, options: Options) => Promise<StandinServer>> = {
+  'object-api': startObjectApi,
+  'vm-list': (port, options) => startVmList(port, [], options),
+  'weight-store': startWeightStore,
+  engine: startEngine,
   upstream: startUpstream,
 };
 
+const defaults: Record<Kind, object> = {
+  'object-api': OBJECT_API_DEFAULTS,
+  'vm-list': VM_LIST_DEFAULTS,
+  'weight-store': WEIGHT_STORE_DEFAULTS,
+  engine: ENGINE_DEFAULTS,
+  upstream: UPSTREAM_DEFAULTS,
+};
+
+const EXIT_USAGE = 2;
+
+/** Numbers, booleans and lists are written as JSON; anything else is text. */
+function parseValue(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return text;
+  }
+}
+
+/** Parses `name=value` pairs. */
+function parseOptions(pairs: readonly string[]): Options {
+  return Object.fromEntries(
+    pairs.map((pair) => {
+      const [name = '', ...rest] = pair.split('=');
+      return [name, parseValue(rest.join('='))];
+    }),
+  );
+}
+
+function findUnknown(kind: Kind, options: Options): string[] {
+  const known = Object.keys(defaults[kind]);
+  return Object.keys(options).filter((name) => !known.includes(name));
+}
+
 export const standinCommand = command({
   name: 'standin',
-  description: 'Run a stand-in of an outside system, for trials.',
+  description: 'Run a stand-in of an outside system, for trials. docs/wire.md lists the options.',
   args: {
     kind: positional({ type: oneOf(kinds), displayName: 'KIND' }),
     port: option({ type: number, long: 'port' }),
+    set: multioption({
+      type: array(string),
+      long: 'set',
+      description: 'option of the stand-in as NAME=VALUE; may be given several times',
+    }),
   },
-  handler: async ({ kind, port }) => {
-    const server = await starters[kind](port);
+  handler: async ({ kind, port, set }) => {
+    const options = parseOptions(set);
+    const unknown = findUnknown(kind, options);
+    if (unknown.length > 0) {
+      const known = Object.keys(defaults[kind]).join(', ');
+      process.stderr.write(`unknown options ${unknown.join(', ')}; ${kind} has ${known}\n`);
+      process.exitCode = EXIT_USAGE;
+      return;
+    }
+    const server = await starters[kind](port, options);
     process.stdout.write(`${kind} at ${server.url}\n`);
   },
 });
--- /dev/null
+++ b/packages/standins/src/engine/engine-core.ts
@@ -0,0 +1,270 @@
+/** The engine stand-in without its HTTP server. */
+import { createColdStart } from '../cold-start.js';
+import { createFaultBoard, createGate } from '../control.js';
+import type { FaultBoard, Gate } from '../control.js';
+import { createLagged } from '../lagged.js';
+import { createAdmission, refuseNotRun } from './admission.js';
+import { createBatch } from './batch.js';
+import { createDecodes } from './decodes.js';
+import type { DecodeCall, KvClient } from './decodes.js';
+import { createKvExports } from './kv-exports.js';
+import type { KvExports } from './kv-exports.js';
+import { createLink } from './link.js';
+import { createMemory } from './memory.js';
+import { createOrders } from './orders.js';
+import type { Orders, ReserveWeights } from './orders.js';
+import { createPrefillQueue, matchAttempt } from './prefill-queue.js';
+import { createPrefixCache } from './prefix-cache.js';
+import type { PrefixCache } from './prefix-cache.js';
+import { runPrefill } from './prefills.js';
+import type { PrefillCall, PrefillOutcome } from './prefills.js';
+import { createRunLog } from './run-log.js';
+import type { Stream } from './streams.js';
+import { createCounters, NO_ENGINE_FAULTS } from './types.js';
+import type {
+  AttemptRef,
+  EngineCounters,
+  EngineFaults,
+  EngineOptions,
+  Hold,
+  Refusal,
+} from './types.js';
+
+export interface EngineLoad {
+  readonly slotsUsed: number;
+  readonly slots: number;
+  readonly blocksUsed: number;
+  readonly blocks: number;
+  readonly prefillQueueMs: number;
+  readonly models: readonly string[];
+  readonly role: string;
+}
+
+export interface EngineState extends EngineCounters {
+  readonly peakBlocks: number;
+  readonly blocksUsed: number;
+  readonly slotsUsed: number;
+  readonly cachedBlocks: number;
+  readonly holds: number;
+  readonly cold: boolean;
+  readonly models: readonly string[];
+  readonly role: string;
+  readonly orders: number;
+  readonly staleOrders: number;
+  readonly loading: number;
+  /** Attempts whose prefill or decode ran more than once. */
+  readonly repeatedRuns: number;
+}
+
+export interface EngineCore {
+  readonly gate: Gate;
+  readonly faults: FaultBoard<EngineFaults>;
+  readonly exports: KvExports;
+  readonly cache: PrefixCache;
+  readonly orders: Orders;
+  prefill(call: PrefillCall & { model?: string }): Promise<PrefillOutcome>;
+  decode(call: DecodeCall & { model?: string }): Promise<Stream | Refusal>;
+  findStream(requestId: string): Stream | undefined;
+  /** Frees everything that an attempt (or all attempts) of a request holds. */
+  cancel(requestId: string, attempt?: number): void;
+  holds(): Hold[];
+  readLoad(): EngineLoad;
+  readState(): EngineState;
+  /** Runs by `<kind>/<request id>/<attempt>`. */
+  readRuns(): Readonly<Record<string, number>>;
+  stop(): void;
+}
+
+export interface CoreHooks {
+  readonly kvClient: KvClient;
+  readonly reserveWeights: ReserveWeights;
+  /** Closes or opens the listener. */
+  readonly setRefusing: (refusing: boolean) => void;
+  /** Breaks all connections after a crash. */
+  readonly cutConnections: () => void;
+}
+
+/** Creates an engine. */
+export function createEngineCore(options: EngineOptions, hooks: CoreHooks): EngineCore {
+  const counters = createCounters();
+  const runs = createRunLog();
+  const memory = createMemory(options.blocks);
+  const cold = createColdStart(options);
+  const queue = createPrefillQueue();
+
+  // The parts refer to each other through these functions.
+  const applyFaults = (faults: EngineFaults): void => {
+    // eslint-disable-next-line @typescript-eslint/no-use-before-define
+    onFaults(faults);
+  };
+  const faults = createFaultBoard(NO_ENGINE_FAULTS, applyFaults);
+  const cache = createPrefixCache({
+    blocks: options.prefixCacheBlocks,
+    lagMs: options.cacheEventLagMs,
+    gapEvery: options.cacheEventGapEvery,
+    losesAll: () => faults.read().loseCacheEvents,
+  });
+  const isStalled = (): boolean => faults.read().stallTransfers || faults.read().freeze;
+  const link = createLink(() => (isStalled() ? 0 : options.linkBytesPerMs));
+  const running = (): number =>
+    // eslint-disable-next-line @typescript-eslint/no-use-before-define
+    queue.size() + decodes.slotsUsed();
+  const admission = createAdmission({ options, cold, counters, running });
+  const slowdown = (): number => faults.read().slowFactor * admission.coldSlowdown();
+  const exports = createKvExports({
+    ttlMs: options.kvTtlMs,
+    memory,
+    onDrop: (imported) => {
+      if (imported) counters.imports += 1;
+      else counters.wastedPrefills += 1;
+      // eslint-disable-next-line @typescript-eslint/no-use-before-define
+      recordLoad();
+    },
+  });
+  const crash = (): void => {
+    counters.crashes += 1;
+    faults.set({ dieAfterTokens: 0 });
+    hooks.cutConnections();
+    // eslint-disable-next-line @typescript-eslint/no-use-before-define
+    dropAll();
+    cache.clear();
+  };
+  const batch = createBatch({
+    stepMs: (size) => (options.tokenMs + options.tokenMsPerStream * size) * slowdown(),
+    onFinish: (stream) => {
+      // eslint-disable-next-line @typescript-eslint/no-use-before-define
+      decodes.finish(stream);
+    },
+    onToken: (stream) => {
+      counters.tokens += 1;
+      const limit = faults.read().dieAfterTokens;
+      if (limit === 0 || stream.produced < limit) return false;
+      crash();
+      return true;
+    },
+  });
+  const recordLoad = (): void => {
+    // eslint-disable-next-line @typescript-eslint/no-use-before-define
+    load.set(measureLoad());
+  };
+  const decodes = createDecodes({
+    options,
+    memory,
+    link,
+    kvClient: hooks.kvClient,
+    admission,
+    counters,
+    batch,
+    onRun: (ref: AttemptRef) => runs.record('decode', ref),
+    onChange: recordLoad,
+  });
+  const orders = createOrders(options, hooks.reserveWeights, recordLoad);
+  const prefillContext = {
+    options,
+    queue,
+    cache,
+    memory,
+    exports,
+    admission,
+    counters,
+    slowdown,
+    onRun: (ref: AttemptRef) => runs.record('prefill', ref),
+  };
+
+  let queuedMs = 0;
+  const measureLoad = (): EngineLoad => ({
+    slotsUsed: decodes.slotsUsed(),
+    slots: options.slots,
+    blocksUsed: memory.used(),
+    blocks: options.blocks,
+    prefillQueueMs: queuedMs + queue.remainingMs(),
+    models: orders.models(),
+    role: orders.role(),
+  });
+  const load = createLagged(measureLoad(), () => options.loadLagMs);
+
+  const dropAll = (): void => {
+    queue.cancel(() => true);
+    exports.clear();
+    decodes.clear();
+    batch.clear();
+  };
+  let frozen = false;
+  let refusing = false;
+  const gate = createGate(() => {
+    queue.setPaused(gate.isClosed());
+    batch.setPaused(gate.isClosed());
+  });
+  const onFaults = (next: EngineFaults): void => {
+    if (next.freeze !== frozen) {
+      frozen = next.freeze;
+      gate.setClosed(frozen);
+    }
+    if (next.refuse !== refusing) {
+      refusing = next.refuse;
+      hooks.setRefusing(refusing);
+    }
+    link.refresh();
+    if (!next.turnCold) return;
+    cold.turnCold();
+    faults.set({ turnCold: false });
+  };
+
+  const checkService = (role: 'prefill' | 'decode', model?: string): Refusal | undefined => {
+    if (orders.role() !== 'both' && orders.role() !== role) {
+      return admission.refuse(refuseNotRun(503, `the role is ${orders.role()}`));
+    }
+    if (orders.serves(model)) return undefined;
+    return admission.refuse(refuseNotRun(503, `model ${model} is not loaded`));
+  };
+
+  return {
+    gate,
+    faults,
+    exports,
+    cache,
+    orders,
+    prefill: async (call) => {
+      const refusal = checkService('prefill', call.model) ?? admission.checkCold();
+      if (refusal !== undefined) return refusal;
+      const estimateMs = call.prompt.length / 4 / options.prefillTokensPerMs;
+      queuedMs += estimateMs;
+      recordLoad();
+      const outcome = await runPrefill(prefillContext, call);
+      queuedMs -= estimateMs;
+      recordLoad();
+      return outcome;
+    },
+    decode: async (call) => checkService('decode', call.model) ?? decodes.start(call),
+    findStream: (requestId) => decodes.find(requestId),
+    cancel: (requestId, attempt) => {
+      const matches = matchAttempt(requestId, attempt);
+      const cancelled = queue.cancel(matches) + exports.cancel(matches) + decodes.cancel(matches);
+      counters.cancelled += cancelled;
+    },
+    holds: () => [...decodes.holds(), ...exports.holds()],
+    readLoad: () => load.read(),
+    readState: () => ({
+      ...counters,
+      peakBlocks: memory.peak(),
+      blocksUsed: memory.used(),
+      slotsUsed: decodes.slotsUsed(),
+      cachedBlocks: cache.size(),
+      holds: decodes.holds().length + exports.holds().length,
+      cold: cold.isCold(),
+      models: orders.models(),
+      role: orders.role(),
+      orders: orders.history().length,
+      staleOrders: orders.stale(),
+      loading: orders.loading(),
+      repeatedRuns: runs.repeated(),
+    }),
+    readRuns: () => runs.read(),
+    stop: () => {
+      faults.stop();
+      dropAll();
+      link.stop();
+      orders.stop();
+    },
+  };
+}
--- /dev/null
+++ b/packages/standins/src/engine/memory.ts
@@ -0,0 +1,35 @@
+/** Memory in blocks. */
+
+export const TOKENS_PER_BLOCK = 1_000;
+
+export interface Memory {
+  /** Takes blocks; false when too few are free. */
+  reserve(blocks: number): boolean;
+  free(blocks: number): void;
+  used(): number;
+  peak(): number;
+}
+
+/** Blocks that a number of tokens needs. */
+export function countBlocks(tokens: number): number {
+  return Math.ceil(tokens / TOKENS_PER_BLOCK);
+}
+
+/** Creates a memory with a number of blocks. */
+export function createMemory(blocks: number): Memory {
+  let used = 0;
+  let peak = 0;
+  return {
+    reserve: (count) => {
+      if (used + count > blocks) return false;
+      used += count;
+      peak = Math.max(peak, used);
+      return true;
+    },
+    free: (count) => {
+      used -= count;
+    },
+    used: () => used,
+    peak: () => peak,
+  };
+}
--- /dev/null
+++ b/packages/standins/src/engine/streams.ts
@@ -0,0 +1,69 @@
+/** Streams of generated tokens: their events, readers and resumption. */
+import { tokenText } from './answer-text.js';
+import type { AttemptRef } from './types.js';
+
+/** Receives the events of a stream. */
+export interface StreamReader {
+  write(text: string): void;
+  end(): void;
+  /** Breaks the connection. */
+  cut(): void;
+}
+
+export interface StreamPlan extends AttemptRef {
+  readonly organisation: string | undefined;
+  readonly tag: string;
+  /** Index of the first token in the answer's text. */
+  readonly textIndex: number;
+  /** Event id of the first token. */
+  readonly startIndex: number;
+  readonly count: number;
+  readonly finishReason: 'stop' | 'length';
+}
+
+export interface Stream extends StreamPlan {
+  produced: number;
+  readonly readers: Set<StreamReader>;
+}
+
+/** Creates a stream with no token. */
+export function createStream(plan: StreamPlan): Stream {
+  return { ...plan, produced: 0, readers: new Set() };
+}
+
+export function isFinished(stream: Stream): boolean {
+  return stream.produced >= stream.count;
+}
+
+/** The event of the n-th token of a stream, counted from 0. */
+export function formatEvent(stream: Stream, n: number): string {
+  const end = n === stream.count - 1 ? `,"finish_reason":"${stream.finishReason}"` : '';
+  const text = tokenText(stream.tag, stream.textIndex + n);
+  return `id: ${stream.startIndex + n}\ndata: {"text":"${text}"${end}}\n\n`;
+}
+
+/** Produces one token and writes it to every reader. */
+export function produceToken(stream: Stream): void {
+  const event = formatEvent(stream, stream.produced);
+  stream.produced += 1;
+  for (const reader of stream.readers) reader.write(event);
+  if (!isFinished(stream)) return;
+  for (const reader of stream.readers) reader.end();
+  stream.readers.clear();
+}
+
+/** Adds a reader, which first gets the tokens after `lastIndex` that exist already. */
+export function addReader(stream: Stream, reader: StreamReader, lastIndex: number): void {
+  const first = Math.max(0, lastIndex + 1 - stream.startIndex);
+  let backlog = '';
+  for (let n = first; n < stream.produced; n += 1) backlog += formatEvent(stream, n);
+  if (backlog !== '') reader.write(backlog);
+  if (isFinished(stream)) reader.end();
+  else stream.readers.add(reader);
+}
+
+/** Breaks the connections of all readers. */
+export function cutReaders(stream: Stream): void {
+  for (const reader of stream.readers) reader.cut();
+  stream.readers.clear();
+}
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -1,5 +1,21 @@
-export * from './engine.js';
-export * from './object-store.js';
-export * from './server.js';
-export * from './upstream.js';
+export { computeTag, planAnswer, tokenText } from './engine/answer-text.js';
+export type { EngineLoad, EngineState } from './engine/engine-core.js';
+export type { Order } from './engine/orders.js';
+export * from './engine/start-engine.js';
+export { ENGINE_DEFAULTS } from './engine/types.js';
+export type { EngineFaults, EngineOptions, EngineRole, Hold } from './engine/types.js';
+export type { StoredObject } from './object-api/object-table.js';
+export * from './object-api/start-object-api.js';
+export type { Outage } from './outage.js';
+export type { StandinServer } from './server.js';
+export * from './upstream/start-upstream.js';
+export { UPSTREAM_DEFAULTS } from './upstream/types.js';
+export type {
+  RecordedCall,
+  UpstreamFaults,
+  UpstreamOptions,
+  UpstreamRuns,
+  UpstreamState,
+} from './upstream/types.js';
 export * from './vm-list.js';
+export * from './weight-store.js';
--- a/packages/standins/src/server.ts
+++ b/packages/standins/src/server.ts
@@ -6,32 +6,57 @@
 import type { HttpBindings } from '@hono/node-server';
 import type { Hono } from 'hono';
 
+export type StandinApp = Hono<{ Bindings: HttpBindings }>;
+
 export interface StandinServer {
   /** Base URL. */
   readonly url: string;
   stop(): Promise<void>;
 }
 
+export interface FaultyServer extends StandinServer {
+  /** Closes the listener and all connections, or listens again on the same port. */
+  setRefusing(refusing: boolean): void;
+  /** Destroys all connections; the listener stays. */
+  cutConnections(): void;
+}
+
+function listen(server: Server, port: number): Promise<void> {
+  return new Promise((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(port, '127.0.0.1', () => {
+      server.off('error', reject);
+      resolve();
+    });
+  });
+}
+
 /** Serves an application on a loopback port; 0 picks a free one. */
-export async function startServer(
-  app: Hono<{ Bindings: HttpBindings }>,
-  port: number,
-): Promise<StandinServer> {
+export async function startServer(app: StandinApp, port: number): Promise<FaultyServer> {
   const listener = getRequestListener(app.fetch, { overrideGlobalObjects: false });
   const server: Server = createServer((req, res) => {
     void listener(req, res);
   });
-  await new Promise<void>((resolve, reject) => {
-    server.once('error', reject);
-    server.listen(port, '127.0.0.1', () => resolve());
-  });
+  await listen(server, port);
   const { port: actual } = server.address() as AddressInfo;
+  let closed = Promise.resolve();
+  const close = (): void => {
+    if (!server.listening) return;
+    closed = new Promise((resolve) => {
+      server.close(() => resolve());
+    });
+    server.closeAllConnections();
+  };
   return {
     url: `http://127.0.0.1:${actual}`,
-    stop: () =>
-      new Promise((resolve) => {
-        server.close(() => resolve());
-        server.closeAllConnections();
-      }),
+    setRefusing: (refusing) => {
+      if (refusing) close();
+      else if (!server.listening) void closed.then(() => listen(server, actual));
+    },
+    cutConnections: () => server.closeAllConnections(),
+    stop: async () => {
+      close();
+      await closed;
+    },
   };
 }
--- a/packages/standins/src/vm-list.ts
+++ b/packages/standins/src/vm-list.ts
@@ -1,8 +1,11 @@
-/** Stand-in of the platform's VM list. */
-import type { HttpBindings } from '@hono/node-server';
+/** Stand-in of the platform's VM list, which shows changes with a lag. */
 import { Hono } from 'hono';
+import { addControl, createFaultBoard, createGate } from './control.js';
+import { createLagged } from './lagged.js';
+import { addOutage, updateGate } from './outage.js';
+import type { Outage } from './outage.js';
 import { startServer } from './server.js';
-import type { StandinServer } from './server.js';
+import type { StandinApp, StandinServer } from './server.js';
 
 export interface StandinVm {
   readonly id: string;
@@ -11,27 +14,100 @@
   readonly state: 'live' | 'leaving';
 }
 
+export interface VmListOptions {
+  /** Time until a change is visible. */
+  readonly lagMs: number;
+}
+
+export const VM_LIST_DEFAULTS: VmListOptions = { lagMs: 0 };
+
+export interface VmListFaults {
+  readonly outage: Outage;
+  /** Replaces the lag of the options for later changes; -1 for none. */
+  readonly lagMs: number;
+}
+
+const NO_FAULTS: VmListFaults = { outage: 'none', lagMs: -1 };
+
+export interface VmListState {
+  readonly reads: number;
+  /** Number of VMs that readers see and that are set. */
+  readonly visible: number;
+  readonly latest: number;
+}
+
 export interface VmListStandin extends StandinServer {
+  /** Replaces the list; readers see it after the lag. */
   setVms(vms: readonly StandinVm[]): void;
+  /** Adds a VM or replaces the one with its id. */
+  putVm(vm: StandinVm): void;
+  removeVm(id: string): void;
+  setState(id: string, state: StandinVm['state']): void;
+  setFaults(faults: Partial<VmListFaults>, forMs?: number): void;
+  clearFaults(): void;
+  readState(): VmListState;
 }
 
-/** Starts the stand-in. `PUT /vms` replaces the list. */
+/** Starts the stand-in; the initial VMs are visible at once. */
 export async function startVmList(
   port: number,
   initial: readonly StandinVm[] = [],
+  { lagMs: lag = VM_LIST_DEFAULTS.lagMs }: Partial<VmListOptions> = {},
 ): Promise<VmListStandin> {
-  let vms = initial;
-  const app = new Hono<{ Bindings: HttpBindings }>();
-  app.get('/vms', (c) => c.json({ vms }));
-  app.put('/vms', async (c) => {
-    ({ vms } = await c.req.json<{ vms: StandinVm[] }>());
+  const gate = createGate();
+  const faults = createFaultBoard(NO_FAULTS, (next) => updateGate(gate, next.outage));
+  const lagMs = (): number => {
+    const override = faults.read().lagMs;
+    return override >= 0 ? override : lag;
+  };
+  const list = createLagged<readonly StandinVm[]>(initial, lagMs);
+  let reads = 0;
+
+  const without = (id: string): StandinVm[] => list.latest().filter((vm) => vm.id !== id);
+  const putVm = (vm: StandinVm): void => list.set([...without(vm.id), vm]);
+  const setState = (id: string, state: StandinVm['state']): void => {
+    list.set(list.latest().map((vm) => (vm.id === id ? { ...vm, state } : vm)));
+  };
+  const removeVm = (id: string): void => list.set(without(id));
+  const readState = (): VmListState => ({
+    reads,
+    visible: list.read().length,
+    latest: list.latest().length,
+  });
+
+  const app: StandinApp = new Hono();
+  addControl(app, { faults, faultNames: Object.keys(NO_FAULTS), gate, readState });
+  addOutage(app, () => faults.read().outage);
+  app.get('/vms', (c) => {
+    reads += 1;
+    return c.json({ vms: list.read() });
+  });
+  app.put('/control/vms', async (c) => {
+    const { vms } = await c.req.json<{ vms: StandinVm[] }>();
+    list.set(vms);
+    return c.json({});
+  });
+  app.put('/control/vms/:id', async (c) => {
+    putVm({ ...(await c.req.json<StandinVm>()), id: c.req.param('id') });
+    return c.json({});
+  });
+  app.delete('/control/vms/:id', (c) => {
+    removeVm(c.req.param('id'));
     return c.json({});
   });
   const server = await startServer(app, port);
   return {
-    ...server,
-    setVms: (next) => {
-      vms = next;
+    url: server.url,
+    stop: async () => {
+      faults.stop();
+      await server.stop();
     },
+    setVms: list.set,
+    putVm,
+    removeVm,
+    setState,
+    setFaults: faults.set,
+    clearFaults: faults.clear,
+    readState,
   };
 }
--- /dev/null
+++ b/packages/standins/src/weight-store.ts
@@ -0,0 +1,89 @@
+/** Stand-in of the weight store, which lets models be loaded at a limited rate. */
+import { Hono } from 'hono';
+import { addControl, createFaultBoard, createGate } from './control.js';
+import { addOutage, updateGate } from './outage.js';
+import type { Outage } from './outage.js';
+import { startServer } from './server.js';
+import type { StandinApp, StandinServer } from './server.js';
+
+export interface WeightStoreOptions {
+  /** Time between the starts of two transfers. */
+  readonly intervalMs: number;
+}
+
+export const WEIGHT_STORE_DEFAULTS: WeightStoreOptions = { intervalMs: 1_000 };
+
+export interface WeightStoreFaults {
+  readonly outage: Outage;
+}
+
+const NO_FAULTS: WeightStoreFaults = { outage: 'none' };
+
+export interface Reservation {
+  readonly model: string;
+  readonly version: string;
+  readonly startInMs: number;
+}
+
+export interface WeightStoreState {
+  readonly reservations: number;
+  readonly backlogMs: number;
+}
+
+export interface WeightStoreStandin extends StandinServer {
+  setFaults(faults: Partial<WeightStoreFaults>, forMs?: number): void;
+  clearFaults(): void;
+  readState(): WeightStoreState;
+  readReservations(): readonly Reservation[];
+}
+
+/** Hands out start times that keep the interval. */
+export function createReservations(intervalMs: number) {
+  let nextStartMs = 0;
+  const wait = (): number => Math.max(0, nextStartMs - performance.now());
+  return {
+    reserve: (): number => {
+      const startInMs = wait();
+      nextStartMs = performance.now() + startInMs + intervalMs;
+      return startInMs;
+    },
+    backlogMs: wait,
+  };
+}
+
+/** Starts the stand-in. */
+export async function startWeightStore(
+  port: number,
+  { intervalMs = WEIGHT_STORE_DEFAULTS.intervalMs }: Partial<WeightStoreOptions> = {},
+): Promise<WeightStoreStandin> {
+  const gate = createGate();
+  const faults = createFaultBoard(NO_FAULTS, (next) => updateGate(gate, next.outage));
+  const turns = createReservations(intervalMs);
+  const reservations: Reservation[] = [];
+  const readState = (): WeightStoreState => ({
+    reservations: reservations.length,
+    backlogMs: turns.backlogMs(),
+  });
+  const app: StandinApp = new Hono();
+  addControl(app, { faults, faultNames: Object.keys(NO_FAULTS), gate, readState });
+  addOutage(app, () => faults.read().outage);
+  app.post('/reservations', async (c) => {
+    const { model, version } = await c.req.json<{ model: string; version: string }>();
+    const reservation = { model, version, startInMs: turns.reserve() };
+    reservations.push(reservation);
+    return c.json({ startInMs: reservation.startInMs });
+  });
+  app.get('/control/reservations', (c) => c.json({ reservations }));
+  const server = await startServer(app, port);
+  return {
+    url: server.url,
+    stop: async () => {
+      faults.stop();
+      await server.stop();
+    },
+    setFaults: faults.set,
+    clearFaults: faults.clear,
+    readState,
+    readReservations: () => reservations,
+  };
+}
--- /dev/null
+++ b/packages/standins/test/engine-http.test.ts
@@ -0,0 +1,151 @@
+import { organisationId, requestId } from '@hibiscusbank/core';
+import type { RouterError } from '@hibiscusbank/core';
+import { createHttpEngine } from '@hibiscusbank/engines';
+import type { PrefillResult, TokenEvent } from '@hibiscusbank/engines';
+import { computeTag, startEngine, tokenText } from '@hibiscusbank/standins';
+import type { EngineOptions, EngineStandin } from '@hibiscusbank/standins';
+import type { Result } from 'neverthrow';
+import { afterEach, expect, test } from 'vitest';
+
+const fast: Partial<EngineOptions> = {
+  tokenMs: 1,
+  tokenMsPerStream: 0,
+  prefillTokensPerMs: 1_000_000,
+  linkBytesPerMs: 1e12,
+  kvTtlMs: 60_000,
+  loadLagMs: 0,
+};
+const engines = createHttpEngine();
+const started: EngineStandin[] = [];
+
+async function start(options: Partial<EngineOptions> = {}): Promise<EngineStandin> {
+  const engine = await startEngine(0, { ...fast, ...options });
+  started.push(engine);
+  return engine;
+}
+
+afterEach(async () => {
+  for (const engine of started.splice(0)) await engine.stop();
+});
+
+function readError<T>(result: Result<T, RouterError>): RouterError | undefined {
+  return result.isErr() ? result.error : undefined;
+}
+
+const never = new AbortController().signal;
+
+function callBase(id: string, attempt = 1) {
+  return {
+    requestId: requestId(id),
+    attempt,
+    organisation: organisationId('tengri'),
+    model: 'm',
+    priority: 1,
+    signal: never,
+  };
+}
+
+async function prefill(engine: EngineStandin, id: string, prompt: string): Promise<PrefillResult> {
+  const result = await engines.prefill({ ...callBase(id), address: engine.url, prompt });
+  if (result.isErr()) throw result.error;
+  return result.value;
+}
+
+interface DecodeArgs {
+  readonly source: EngineStandin;
+  readonly engine: EngineStandin;
+  readonly id: string;
+  readonly kvId: string;
+  readonly maxTokens?: number;
+  readonly startIndex?: number;
+}
+
+async function decode(args: DecodeArgs) {
+  const tokens: TokenEvent[] = [];
+  const result = await engines.decode({
+    ...callBase(args.id),
+    address: args.engine.url,
+    kv: { address: args.source.url, kvId: args.kvId },
+    startIndex: args.startIndex ?? 0,
+    maxTokens: args.maxTokens ?? 5,
+    onTokens: (batch) => tokens.push(...batch),
+  });
+  return { result, tokens };
+}
+
+test('a decode on another engine gives the deterministic text of the prompt', async () => {
+  const [source, engine] = [await start({ role: 'prefill' }), await start({ role: 'decode' })];
+  const { kvId } = await prefill(source, 'r1', 'hello');
+  const { result, tokens } = await decode({ source, engine, id: 'r1', kvId });
+  expect(result.isOk()).toBe(true);
+  const tag = computeTag('hello');
+  expect(tokens.map((token) => token.text)).toEqual([0, 1, 2, 3, 4].map((k) => tokenText(tag, k)));
+  expect(tokens.at(-1)?.finishReason).toBe('length');
+});
+
+test('an engine with all slots in use refuses as not run', async () => {
+  const engine = await start({ slots: 0 });
+  const { kvId } = await prefill(engine, 'r1', 'hello');
+  const { result } = await decode({ source: engine, engine, id: 'r1', kvId });
+  expect(readError(result)).toMatchObject({ kind: 'upstream_refused', effect: 'not_run' });
+});
+
+test('a second decode of the same attempt is refused and does not count as not run', async () => {
+  const engine = await start();
+  const { kvId } = await prefill(engine, 'r1', 'hello');
+  await decode({ source: engine, engine, id: 'r1', kvId });
+  const { result } = await decode({ source: engine, engine, id: 'r1', kvId });
+  expect(readError(result)?.effect).toBe('unknown');
+  expect(engine.readState().decodes).toBe(1);
+});
+
+test('a decode without an export on the source is refused as not run', async () => {
+  const engine = await start();
+  const { result } = await decode({ source: engine, engine, id: 'r1', kvId: 'gone' });
+  expect(readError(result)).toMatchObject({ kind: 'upstream_refused', effect: 'not_run' });
+  expect(engine.holds()).toEqual([]);
+});
+
+test('a finished stream resumes after the last index and names its organisation', async () => {
+  const engine = await start();
+  const { kvId } = await prefill(engine, 'r1', 'hello');
+  await decode({ source: engine, engine, id: 'r1', kvId });
+  const indexes: number[] = [];
+  let owner: string | undefined;
+  const resumed = await engines.resume({
+    requestId: requestId('r1'),
+    attempt: 1,
+    address: engine.url,
+    lastIndex: 2,
+    signal: never,
+    onOwner: (organisation) => {
+      owner = organisation;
+      return undefined;
+    },
+    onTokens: (batch) => indexes.push(...batch.map((token) => token.index)),
+  });
+  expect(resumed.isOk()).toBe(true);
+  expect(owner).toBe('tengri');
+  expect(indexes).toEqual([3, 4]);
+});
+
+test('a crash after some tokens breaks the stream and drops all holds', async () => {
+  const engine = await start();
+  engine.setFaults({ dieAfterTokens: 3 });
+  const { kvId } = await prefill(engine, 'r1', 'hello');
+  const { result } = await decode({ source: engine, engine, id: 'r1', kvId });
+  expect(readError(result)?.effect).toBe('unknown');
+  expect(engine.holds()).toEqual([]);
+});
+
+test('an order with an older fencing token is rejected only by an engine that checks it', async () => {
+  const strict = await start({ checksFencing: true });
+  const lax = await start({ checksFencing: false });
+  for (const engine of [strict, lax]) {
+    await engines.order(engine.url, { epoch: 5, kind: 'role', role: 'decode' });
+  }
+  const stale = { epoch: 4, kind: 'role', role: 'prefill' } as const;
+  expect(readError(await engines.order(strict.url, stale))?.kind).toBe('stale_epoch');
+  expect((await engines.order(lax.url, stale)).isOk()).toBe(true);
+  expect(strict.readState().role).toBe('decode');
+});
