Add an open-loop load tool that verifies every answer

Arrivals are Poisson and replay from a seed. Streamed answers are verified by a scan for the expected tokens, without parsing each event. The report gives outcomes, latency histograms and goodput in total, per organisation and route. A broken stream is repeated on the next node with Last-Event-ID.

--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -19,3 +19,6 @@
 } from './upstream/types.js';
 export * from './vm-list.js';
 export * from './weight-store.js';
+export * from './load/defaults.js';
+export { runLoad } from './load/run-load.js';
+export * from './load/types.js';
--- /dev/null
+++ b/packages/standins/src/load/plan-request.ts
@@ -0,0 +1,144 @@
+/** Draws requests from the mix. */
+import { createRandom } from '@hibiscusbank/core';
+import type { Random } from '@hibiscusbank/core';
+import { computeTag } from '../engine/answer-text.js';
+import type {
+  LoadOptions,
+  LoadOrganisation,
+  LoadRoute,
+  ModelRoute,
+  PlainRoute,
+  Range,
+} from './types.js';
+
+const CHARS_PER_TOKEN = 4;
+const FILLER_CHARS = 65_536;
+const WORD_LENGTH = 6;
+const LETTERS = 'abcdefghijklmnopqrstuvwxyz';
+
+/** What the answer has to be. */
+export type Expectation =
+  | { readonly kind: 'model'; readonly tag: string; readonly maxTokens: number }
+  | { readonly kind: 'plain'; readonly path: string; readonly bytes: number };
+
+export interface PlannedRequest {
+  readonly organisation: LoadOrganisation;
+  readonly route: LoadRoute;
+  readonly method: 'GET' | 'POST';
+  readonly path: string;
+  readonly headers: Readonly<Record<string, string>>;
+  readonly body: string | undefined;
+  readonly expectation: Expectation;
+  /** The caller cancels after this number of tokens. */
+  readonly cancelAfter: number | undefined;
+}
+
+export interface RequestPlanner {
+  next(): PlannedRequest;
+}
+
+function createFiller(seed: number): string {
+  const random = createRandom(seed);
+  let text = '';
+  while (text.length < FILLER_CHARS) {
+    for (let i = 0; i < WORD_LENGTH; i += 1) text += LETTERS[random.below(LETTERS.length)];
+    text += ' ';
+  }
+  return text;
+}
+
+function repeatTo(text: string, offset: number, length: number): string {
+  const start = offset % text.length;
+  const rotated = text.slice(start) + text.slice(0, start);
+  return rotated.repeat(Math.ceil(length / rotated.length)).slice(0, length);
+}
+
+/** Draws evenly on a logarithmic scale. */
+export function drawFromRange(random: Random, [min, max]: Range): number {
+  if (max <= min) return min;
+  return Math.round(min * (max / min) ** random.next());
+}
+
+function pickWeighted<T extends { readonly weight: number }>(
+  random: Random,
+  items: readonly T[],
+): T {
+  const total = items.reduce((sum, item) => sum + item.weight, 0);
+  let left = random.next() * total;
+  const found = items.find((item) => {
+    left -= item.weight;
+    return left < 0;
+  });
+  return found ?? (items.at(-1) as T);
+}
+
+/** Creates the sequence of requests of a seed. */
+export function createRequestPlanner(options: LoadOptions): RequestPlanner {
+  const random = createRandom(options.seed);
+  const filler = createFiller(options.seed);
+  let sequence = 0;
+
+  /** The marks make the answer depend on all of the text between them. */
+  const writePrompt = (route: ModelRoute): string => {
+    const length = drawFromRange(random, route.promptTokens) * CHARS_PER_TOKEN;
+    const variant = random.below(Math.max(1, route.sharedPrompts));
+    const sharedLength = Math.min(route.sharedTokens * CHARS_PER_TOKEN, length);
+    const shared = repeatTo(filler, variant * 101, sharedLength);
+    const unique = ` #${options.seed}.${sequence} `;
+    const rest = Math.max(0, length - sharedLength - unique.length);
+    return `[[${shared}${unique}${repeatTo(filler, sequence * 7, rest)}]]`;
+  };
+  const planModel = (organisation: LoadOrganisation, route: ModelRoute): PlannedRequest => {
+    const prompt = writePrompt(route);
+    const maxTokens = drawFromRange(random, route.answerTokens);
+    const cancels = random.next() < route.cancelShare;
+    const input =
+      route.form === 'chat' ? { messages: [{ role: 'user', content: prompt }] } : { prompt };
+    return {
+      organisation,
+      route,
+      method: 'POST',
+      path: route.path,
+      headers: {
+        authorization: `Bearer ${organisation.key}`,
+        'content-type': 'application/json',
+      },
+      body: JSON.stringify({
+        model: route.model,
+        stream: route.stream,
+        max_tokens: maxTokens,
+        ...input,
+      }),
+      expectation: { kind: 'model', tag: computeTag(prompt), maxTokens },
+      cancelAfter: cancels && route.stream ? 1 + random.below(maxTokens) : undefined,
+    };
+  };
+  const planPlain = (organisation: LoadOrganisation, route: PlainRoute): PlannedRequest => {
+    const path = `${route.path}?load=${options.seed}.${sequence}`;
+    const body = route.method === 'POST' ? repeatTo(filler, sequence, route.bodyBytes) : undefined;
+    return {
+      organisation,
+      route,
+      method: route.method,
+      path,
+      headers: {
+        authorization: `Bearer ${organisation.key}`,
+        ...(route.idempotencyKeys ? { 'idempotency-key': `${options.seed}.${sequence}` } : {}),
+      },
+      body,
+      expectation: { kind: 'plain', path, bytes: body?.length ?? 0 },
+      cancelAfter: undefined,
+    };
+  };
+
+  return {
+    next: () => {
+      sequence += 1;
+      const organisation = pickWeighted(random, options.organisations);
+      const route = pickWeighted(random, options.routes);
+      return route.kind === 'model'
+        ? planModel(organisation, route)
+        : planPlain(organisation, route);
+    },
+  };
+}
--- /dev/null
+++ b/packages/standins/src/load/run-load.ts
@@ -0,0 +1,169 @@
+/** Open-loop load: arrivals do not wait for answers. */
+import { createRandom } from '@hibiscusbank/core';
+import { Agent } from 'undici';
+import { createRequestPlanner } from './plan-request.js';
+import type { PlannedRequest } from './plan-request.js';
+import { sendRequest } from './send-request.js';
+import type { SendContext } from './send-request.js';
+import { createTally } from './tally.js';
+import type { Tally } from './tally.js';
+import { createTargets } from './targets.js';
+import type { LoadOptions, LoadReport, LoadSummary, RequestResult } from './types.js';
+
+const MS_PER_S = 1_000;
+const MAX_FAULTS_KEPT = 20;
+const KEEP_ALIVE_MS = 4_000;
+
+/** Separates the times of arrival from the contents of the requests. */
+const ARRIVAL_SEED_OFFSET = 7_919;
+
+/** Times of Poisson arrivals in ms from the start, in order. */
+export function* drawArrivals(
+  seed: number,
+  ratePerS: number,
+  seconds: number,
+): Generator<number, void> {
+  const random = createRandom(seed + ARRIVAL_SEED_OFFSET);
+  const meanGapMs = MS_PER_S / ratePerS;
+  let atMs = 0;
+  for (;;) {
+    atMs += -Math.log(1 - random.next()) * meanGapMs;
+    if (atMs >= seconds * MS_PER_S) return;
+    yield atMs;
+  }
+}
+
+function createTallies(options: LoadOptions) {
+  const total = createTally();
+  const byOrganisation = new Map(options.organisations.map(({ name }) => [name, createTally()]));
+  const byRoute = new Map(options.routes.map(({ name }) => [name, createTally()]));
+  const select = (planned: PlannedRequest): Tally[] =>
+    [total, byOrganisation.get(planned.organisation.name), byRoute.get(planned.route.name)].filter(
+      (tally) => tally !== undefined,
+    );
+  const summariseAll = (tallies: Map<string, Tally>, seconds: number) =>
+    Object.fromEntries(
+      [...tallies].map(([name, tally]): [string, LoadSummary] => [name, tally.summarise(seconds)]),
+    );
+  return {
+    total,
+    select,
+    summarise: (seconds: number) => ({
+      total: total.summarise(seconds),
+      byOrganisation: summariseAll(byOrganisation, seconds),
+      byRoute: summariseAll(byRoute, seconds),
+    }),
+  };
+}
+
+/** Runs `launch` at each arrival; resolves after the last one or at the abort. */
+function followArrivals(
+  arrivals: Iterator<number, void>,
+  launch: (arrivedAtMs: number) => void,
+  signal: AbortSignal | undefined,
+): Promise<void> {
+  const startedAtMs = performance.now();
+  return new Promise((resolve) => {
+    let next = arrivals.next();
+    const step = (): void => {
+      const now = performance.now();
+      while (!next.done && startedAtMs + next.value <= now) {
+        launch(startedAtMs + next.value);
+        next = arrivals.next();
+      }
+      if (next.done || signal?.aborted) resolve();
+      else setTimeout(step, Math.max(1, startedAtMs + next.value - now));
+    };
+    step();
+  });
+}
+
+/** Resolves when all requests ended, or after the time. */
+async function waitForAll(running: ReadonlySet<Promise<void>>, ms: number): Promise<void> {
+  let timer: NodeJS.Timeout | undefined;
+  const expiry = new Promise<void>((resolve) => {
+    timer = setTimeout(resolve, ms);
+  });
+  await Promise.race([Promise.all(running), expiry]);
+  clearTimeout(timer);
+}
+
+/**
+ * Sends load for a time and reports. It ends at the latest after `seconds + drainSeconds`; the signal
+ * ends the arrivals earlier.
+ */
+export async function runLoad(options: LoadOptions, signal?: AbortSignal): Promise<LoadReport> {
+  const client = new Agent({
+    keepAliveTimeout: KEEP_ALIVE_MS,
+    headersTimeout: 0,
+    bodyTimeout: 0,
+    connect: { timeout: MS_PER_S },
+  });
+  const targets = createTargets(options.targets, client);
+  const tallies = createTallies(options);
+  const planner = createRequestPlanner(options);
+  const running = new Set<Promise<void>>();
+  const faults: string[] = [];
+  const end = new AbortController();
+  let skipped = 0;
+  let noTarget = 0;
+  let peakConcurrent = 0;
+  const context: SendContext = {
+    client,
+    targets,
+    resumes: options.resumes,
+    signal: end.signal,
+    onGap: (planned, gapMs) => {
+      for (const tally of tallies.select(planned)) tally.addGap(gapMs);
+    },
+  };
+
+  const finish = (planned: PlannedRequest, result: RequestResult): void => {
+    for (const tally of tallies.select(planned)) tally.addResult(planned.route, result);
+    const isFault = result.outcome === 'wrong' || result.outcome === 'cut';
+    if (isFault && faults.length < MAX_FAULTS_KEPT) {
+      faults.push(`${result.outcome}: ${planned.route.name}: ${result.detail ?? 'no detail'}`);
+    }
+  };
+  const launch = (arrivedAtMs: number): void => {
+    const planned = planner.next();
+    if (running.size >= options.maxConcurrent) {
+      skipped += 1;
+      return;
+    }
+    const target = targets.next();
+    if (target === undefined) {
+      noTarget += 1;
+      return;
+    }
+    for (const tally of tallies.select(planned)) tally.addSent();
+    const ended = sendRequest(context, planned, target, arrivedAtMs).then((result) => {
+      running.delete(ended);
+      finish(planned, result);
+    });
+    running.add(ended);
+    peakConcurrent = Math.max(peakConcurrent, running.size);
+  };
+
+  await targets.check();
+  targets.start();
+  const startedAtMs = performance.now();
+  const arrivals = drawArrivals(options.seed, options.ratePerS, options.seconds);
+  await followArrivals(arrivals, launch, signal);
+  const seconds = Math.max(options.seconds, 0.001);
+  const sentSeconds = signal?.aborted ? (performance.now() - startedAtMs) / MS_PER_S : seconds;
+  await waitForAll(running, options.drainSeconds * MS_PER_S);
+  end.abort();
+  await Promise.all(running);
+  targets.stop();
+  await client.destroy();
+  return {
+    seed: options.seed,
+    seconds: sentSeconds,
+    skipped,
+    noTarget,
+    peakConcurrent,
+    ...tallies.summarise(sentSeconds),
+    faults,
+  };
+}
--- /dev/null
+++ b/packages/standins/test/load.test.ts
@@ -0,0 +1,138 @@
+import { createServer } from 'node:http';
+import type { Server } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { LOAD_DEFAULTS, MODEL_ROUTE_DEFAULTS, runLoad, tokenText } from '@hibiscusbank/standins';
+import type { LoadOptions } from '@hibiscusbank/standins';
+import { afterEach, expect, test } from 'vitest';
+import { createRequestPlanner } from '../src/load/plan-request.js';
+import { drawArrivals } from '../src/load/run-load.js';
+import { createEventScanner } from '../src/load/scan-events.js';
+import { createTargets } from '../src/load/targets.js';
+
+const TAG = '0000abcd';
+
+const event = (k: number, tag = TAG, reason = 'null'): string =>
+  `id: r.e.${k}\ndata: {"choices":[{"index":0,"text":"${tokenText(tag, k)}","finish_reason":${reason}}]}\n\n`;
+
+const END = 'data: [DONE]\n\n';
+const whole = event(0) + event(1) + event(2, TAG, '"length"') + END;
+
+test('a whole answer is accepted however it is cut into pieces', () => {
+  for (let size = 1; size < whole.length; size += 1) {
+    const scanner = createEventScanner(TAG, 3);
+    for (let at = 0; at < whole.length; at += size) scanner.feed(whole.slice(at, at + size));
+    expect(scanner.isWhole()).toBe(true);
+  }
+});
+
+test.each([
+  ['a missing token', event(0) + event(2, TAG, '"length"') + END],
+  ['a repeated token', event(0) + event(0) + event(1) + event(2, TAG, '"length"') + END],
+  ['tokens out of order', event(1) + event(0) + event(2, TAG, '"length"') + END],
+  ['a token of another request', event(0) + event(1, 'ffff0000') + END],
+  ['an answer that ends early', event(0) + event(1, TAG, '"length"') + END],
+  ['a token after the end', whole.replace(END, event(3) + END)],
+])('%s is a fault', (_name, text) => {
+  const scanner = createEventScanner(TAG, 3);
+  scanner.feed(text);
+  expect(scanner.fault()).toBeDefined();
+  expect(scanner.isWhole()).toBe(false);
+});
+
+test('several tokens in one event count in order', () => {
+  const scanner = createEventScanner(TAG, 2);
+  scanner.feed(`id: r.e.1\ndata: {"text":" ${TAG}.0 ${TAG}.1","finish_reason":"length"}\n\n${END}`);
+  expect(scanner.tokens()).toBe(2);
+  expect(scanner.isWhole()).toBe(true);
+});
+
+test('a stream continues after a broken connection from the last whole event', () => {
+  const scanner = createEventScanner(TAG, 3);
+  scanner.feed(event(0) + event(1).slice(0, 20));
+  expect(scanner.lastEventId()).toBe('r.e.0');
+  scanner.reconnect();
+  scanner.feed(event(1) + event(2, TAG, '"length"') + END);
+  expect(scanner.isWhole()).toBe(true);
+});
+
+test('an error event gives its outcome', () => {
+  const scanner = createEventScanner(TAG, 3);
+  scanner.feed(`${event(0)}event: error\ndata: {"error":{"outcome":"not_run"}}\n\n`);
+  expect(scanner.errorOutcome()).toBe('not_run');
+});
+
+const options: LoadOptions = {
+  ...LOAD_DEFAULTS,
+  targets: [],
+  organisations: [
+    { name: 'large', key: 'k1', weight: 9 },
+    { name: 'small', key: 'k2', weight: 1 },
+  ],
+  routes: [{ ...MODEL_ROUTE_DEFAULTS, sharedTokens: 1_000, promptTokens: [2_000, 2_000] }],
+  seed: 42,
+};
+
+test('equal seeds give equal arrivals and requests', () => {
+  expect([...drawArrivals(42, 50, 2)]).toEqual([...drawArrivals(42, 50, 2)]);
+  const [a, b] = [createRequestPlanner(options), createRequestPlanner(options)];
+  for (let i = 0; i < 20; i += 1) expect(a.next()).toEqual(b.next());
+});
+
+test('prompts share their start and have answers of their own', () => {
+  const planner = createRequestPlanner(options);
+  const contents = [planner.next(), planner.next()].map((planned) => ({
+    prompt: (JSON.parse(planned.body ?? '') as { messages: { content: string }[] }).messages[0]
+      ?.content,
+    expectation: planned.expectation,
+  }));
+  expect(contents[0]?.prompt?.slice(0, 4_000)).toBe(contents[1]?.prompt?.slice(0, 4_000));
+  expect(contents[0]?.expectation).not.toEqual(contents[1]?.expectation);
+});
+
+const servers: Server[] = [];
+
+afterEach(() => {
+  for (const server of servers.splice(0)) {
+    server.close();
+    server.closeAllConnections();
+  }
+});
+
+async function listen(server: Server): Promise<string> {
+  servers.push(server);
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  return `http://127.0.0.1:${(server.address() as AddressInfo).port}`;
+}
+
+test('a target that is not ready gets no request', async () => {
+  const { Agent } = await import('undici');
+  const client = new Agent();
+  const answer = (status: number): Server =>
+    createServer((_req, res) => {
+      res.writeHead(status);
+      res.end();
+    });
+  const ready = { url: 'http://a', admin: await listen(answer(200)) };
+  const draining = { url: 'http://b', admin: await listen(answer(503)) };
+  const targets = createTargets([ready, draining], client);
+  await targets.check();
+  expect([targets.next(), targets.next(), targets.next()]).toEqual([ready, ready, ready]);
+  await client.destroy();
+});
+
+test('refusals are counted by outcome and status and not as answers', async () => {
+  const url = await listen(
+    createServer((_req, res) => {
+      res.writeHead(429, { 'x-hibiscusbank-outcome': 'not_run' });
+      res.end('{}');
+    }),
+  );
+  const run = { ...options, targets: [{ url }], ratePerS: 1_000, seconds: 0.02 };
+  const report = await runLoad(run);
+  const { sent, outcomes, refusedByStatus } = report.total;
+  expect(sent).toBe([...drawArrivals(42, 1_000, 0.02)].length);
+  expect(outcomes.not_run).toBe(sent);
+  expect(refusedByStatus).toEqual({ 429: sent });
+});
