Detect dead VMs by probes and split the peer network

Cause: membership only copied the platform's VM list, and the network opened a connection per direction and could not be used in a process under fake timers.

Change: JSON-RPC sessions run in both directions over one connection per pair, with hello, call timeouts, reconnection and byte counters by class. createMemoryHub implements the network in memory with delay, loss, partitions and paused VMs.

--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -21,12 +21,13 @@
     self,
     listen: settings.peerListen,
     secret: settings.peerSecret,
-    findAddress: (vm) => membershipRef.current?.find(vm)?.peerAddress,
+    findAddress: (vm) => membershipRef.current?.findAddress(vm),
     telemetry,
   });
   const membership = createMembership({
     self,
     selfAddress: `${settings.peerListen.host}:${settings.peerListen.port}`,
+    network,
     vmList: ports.vmList,
     telemetry,
   });
--- /dev/null
+++ b/packages/peers/src/member-table.ts
@@ -0,0 +1,125 @@
+/** What a node knows about the VMs of the fleet, with the rules by which reports replace each other. */
+import { hash32, monotonicMs } from '@hibiscusbank/core';
+import type { DataCentreId, Telemetry, VmId } from '@hibiscusbank/core';
+import type { ListedVm } from '@hibiscusbank/platform';
+import type { Member, MemberState } from './types.js';
+
+/** A dead member is kept so that late reports of its life do not bring it back. */
+const DEAD_RETENTION_MS = 600_000;
+
+/** A report replaces another of the same incarnation only with a higher rank. */
+const RANK: Readonly<Record<MemberState, number>> = { live: 0, suspect: 1, leaving: 2, dead: 3 };
+
+export interface MemberTable {
+  get(vm: VmId): Member | undefined;
+  all(): readonly Member[];
+  /** Members that may own work, sorted by id. */
+  listLive(dataCentre: DataCentreId): readonly VmId[];
+  /** Takes a report; returns whether it was news. */
+  merge(report: Member): boolean;
+  /** Adds VMs of the platform's list and forgets members that are long dead. */
+  applyList(vms: readonly ListedVm[]): void;
+  isListed(vm: VmId): boolean;
+  /** Monotonic time of the last change. */
+  lastChangeMs(): number;
+  /** Hash of the members of a data centre that are not dead. */
+  digest(dataCentre: DataCentreId): number;
+  dataCentres(): readonly DataCentreId[];
+  onChange(listener: (member: Member) => void): () => void;
+}
+
+function supersedes(report: Member, known: Member): boolean {
+  if (report.incarnation !== known.incarnation) return report.incarnation > known.incarnation;
+  return RANK[report.state] > RANK[known.state];
+}
+
+/** Suspicion is short-lived and does not make two tables differ. */
+function digestMember({ vm, state, incarnation }: Member): number {
+  if (state === 'dead') return 0;
+  return hash32(`${vm} ${state === 'leaving' ? state : 'live'} ${incarnation}`);
+}
+
+/** Creates the table of one node. */
+export function createMemberTable(telemetry: Telemetry): MemberTable {
+  const members = new Map<VmId, Member>();
+  const diedAt = new Map<VmId, number>();
+  const listeners = new Set<(member: Member) => void>();
+  let listed: ReadonlySet<VmId> = new Set();
+  let lastChange = monotonicMs();
+
+  const listLive = (dataCentre: DataCentreId): readonly VmId[] =>
+    [...members.values()]
+      .filter((member) => member.dataCentre === dataCentre)
+      .filter((member) => member.state === 'live' || member.state === 'suspect')
+      .map((member) => member.vm)
+      .sort();
+
+  const dataCentres = (): readonly DataCentreId[] =>
+    [...new Set([...members.values()].map((member) => member.dataCentre))].sort();
+
+  const announce = (member: Member): void => {
+    const { vm, state, incarnation, dataCentre } = member;
+    telemetry.log('memberStateChanged', { member: vm, state, incarnation });
+    const live = listLive(dataCentre).length;
+    telemetry.metrics.liveMembers.set({ data_centre: dataCentre }, live);
+    for (const listener of listeners) listener(member);
+  };
+
+  const merge = (report: Member): boolean => {
+    const known = members.get(report.vm);
+    if (known !== undefined && !supersedes(report, known)) return false;
+    telemetry.invariants.check(
+      known === undefined || report.incarnation >= known.incarnation,
+      'member_incarnation_monotonic',
+      () => `VM ${report.vm} from ${known?.incarnation} to ${report.incarnation}`,
+    );
+    members.set(report.vm, report);
+    lastChange = monotonicMs();
+    if (report.state === 'dead') diedAt.set(report.vm, lastChange);
+    else diedAt.delete(report.vm);
+    announce(report);
+    return true;
+  };
+
+  const forgetDead = (): void => {
+    const before = monotonicMs() - DEAD_RETENTION_MS;
+    for (const { vm, state, incarnation } of members.values()) {
+      if (state !== 'dead' || listed.has(vm)) continue;
+      if (incarnation > 0 && (diedAt.get(vm) ?? 0) > before) continue;
+      members.delete(vm);
+      diedAt.delete(vm);
+    }
+  };
+
+  return {
+    get: (vm) => members.get(vm),
+    all: () => [...members.values()],
+    listLive,
+    merge,
+    applyList: (vms) => {
+      listed = new Set(vms.map((vm) => vm.id));
+      for (const { id, dataCentre, peerAddress } of vms) {
+        const known = members.get(id);
+        // A dead member of the list may be back at another address.
+        if (known !== undefined && (known.state !== 'dead' || known.peerAddress === peerAddress)) {
+          continue;
+        }
+        const incarnation = known?.incarnation ?? 0;
+        members.set(id, { vm: id, dataCentre, peerAddress, state: 'dead', incarnation });
+      }
+      forgetDead();
+    },
+    isListed: (vm) => listed.has(vm),
+    lastChangeMs: () => lastChange,
+    digest: (dataCentre) =>
+      [...members.values()]
+        .filter((member) => member.dataCentre === dataCentre)
+        // eslint-disable-next-line no-bitwise
+        .reduce((sum, member) => (sum ^ digestMember(member)) >>> 0, 0),
+    dataCentres,
+    onChange: (listener) => {
+      listeners.add(listener);
+      return () => listeners.delete(listener);
+    },
+  };
+}
--- a/packages/peers/src/membership.ts
+++ b/packages/peers/src/membership.ts
@@ -1,83 +1,189 @@
-/** Which VMs are live. */
-import { monotonicMs, repeatUntilAborted } from '@hibiscusbank/core';
-import type { DataCentreId, Telemetry, VmId } from '@hibiscusbank/core';
+/** Which VMs are live: assembles the list, the failure detector and the probes between data centres. */
+import { createRandom, hash32, monotonicMs } from '@hibiscusbank/core';
+import type { Random, Telemetry } from '@hibiscusbank/core';
 import type { ListedVm, VmList } from '@hibiscusbank/platform';
-import type { Member, Membership, PeerIdentity } from './types.js';
+import { createDataCentreClock, DATA_CENTRE_TIMEOUT_MS } from './data-centre-ages.js';
+import { createFailureDetector, TICK_INTERVAL_MS } from './failure-detector.js';
+import { createListReader } from './list-reader.js';
+import { createMemberTable } from './member-table.js';
+import { createMembershipMetrics } from './metrics.js';
+import { createProbeMessages } from './probe-messages.js';
+import { createProber, sample } from './prober.js';
+import { createRemoteProber } from './remote-prober.js';
+import { createSelfRecord } from './self-record.js';
+import { createTableSync } from './table-sync.js';
+import type { Member, Membership, PeerIdentity, PeerNetwork, ProbePayload } from './types.js';
+import { createUpdateQueue } from './update-queue.js';
 
-const LIST_INTERVAL_MS = 2_000;
+/** Peers asked for their whole table when a process starts. */
+const JOIN_PEERS = 3;
+
+/** Pause until the next attempt when no peer gave its table, as when the list was not readable. */
+const JOIN_RETRY_MS = 2_000;
 
 export interface MembershipOptions {
   readonly self: PeerIdentity;
+  /** `host:port` at which peers reach this node. */
   readonly selfAddress: string;
+  readonly network: PeerNetwork;
   readonly vmList: VmList;
   readonly telemetry: Telemetry;
+  readonly random?: Random;
 }
 
 /** Creates the membership of one node. */
 export function createMembership(options: MembershipOptions): Membership {
-  const members = new Map<VmId, Member>();
-  const listeners = new Set<(member: Member) => void>();
+  const { self, network, telemetry } = options;
+  // eslint-disable-next-line no-bitwise
+  const random = options.random ?? createRandom((hash32(self.vm) ^ Date.now()) | 0);
+  const metrics = createMembershipMetrics(telemetry);
+  const table = createMemberTable(telemetry);
+  const queue = createUpdateQueue(() => table.listLive(self.dataCentre).length);
+  const clock = createDataCentreClock();
+  const payloads: ProbePayload[] = [];
   const stopping = new AbortController();
-  let listed: readonly VmId[] | undefined;
-  let lastContact = monotonicMs();
+  let lastPeerContact = -Infinity;
+  let lastListRead = -Infinity;
+  let ticking: NodeJS.Timeout | undefined;
+  let leavingByCall = false;
+  let nextJoin = 0;
+  const startedAt = monotonicMs();
 
-  const update = (member: Member): void => {
-    const previous = members.get(member.vm);
-    members.set(member.vm, member);
-    if (previous?.state === member.state) return;
-    options.telemetry.log('memberStateChanged', { member: member.vm, state: member.state });
-    for (const listener of listeners) listener(member);
-  };
+  const ownRecord = createSelfRecord({
+    self,
+    address: options.selfAddress,
+    table,
+    queue,
+    telemetry,
+    metrics,
+  });
 
-  const applyList = (vms: readonly ListedVm[]): void => {
-    lastContact = monotonicMs();
-    listed = vms.map((vm) => vm.id);
-    for (const vm of vms) {
-      if (vm.id === options.self.vm) continue;
-      update({
-        vm: vm.id,
-        dataCentre: vm.dataCentre,
-        peerAddress: vm.peerAddress,
-        state: vm.state,
-      });
+  let probeBack: (to: PeerIdentity) => void = () => {};
+
+  const onReport = (report: Member, from: PeerIdentity): void => {
+    if (report.vm === self.vm) {
+      if (ownRecord.hear(report)) probeBack(from);
+      return;
     }
+    const isFirst = table.get(report.vm) === undefined;
+    const isNews = table.merge(report);
+    // A death of a VM unknown so far is not passed on, or forgotten members would spread for ever.
+    if (isNews && !(isFirst && report.state === 'dead')) queue.add(report.vm);
   };
 
-  const readList = async (): Promise<void> => {
-    const result = await options.vmList.read();
-    result.match(applyList, (error) => {
-      options.telemetry.log('vmListUnavailable', { error: error.message });
-    });
+  const tableSync = createTableSync({ network, table, metrics, onReport });
+  const messages = createProbeMessages({
+    table,
+    queue,
+    self: ownRecord,
+    clock,
+    payloads,
+    onReport,
+    onDifference: (from) => tableSync.syncWhenQuiet(from),
+  });
+  const prober = createProber({
+    network,
+    table,
+    messages,
+    metrics,
+    random,
+    onContact: () => {
+      lastPeerContact = monotonicMs();
+    },
+  });
+  probeBack = (to) => {
+    setTimeout(() => {
+      void prober.probe(to, 'direct');
+    }, 0);
   };
+  const detector = createFailureDetector({
+    self,
+    table,
+    queue,
+    prober,
+    metrics,
+    random,
+    telemetry,
+  });
+  const probeRemotely = createRemoteProber({ self, table, prober, random });
+  table.onChange((member) => {
+    if (member.vm !== self.vm) detector.observe(member);
+  });
 
-  const setSelf = (state: Member['state']): void => {
-    update({ ...options.self, peerAddress: options.selfAddress, state });
+  /** The platform may announce that this VM is about to go; only the VM itself tells the others. */
+  const followList = (vms: readonly ListedVm[]): void => {
+    lastListRead = monotonicMs();
+    table.applyList(vms.filter((vm) => vm.id !== self.vm));
+    const listedState = vms.find((vm) => vm.id === self.vm)?.state;
+    if (listedState === undefined || leavingByCall) return;
+    if (listedState !== ownRecord.get().state) ownRecord.setState(listedState);
   };
 
-  const listLive = (dataCentre: DataCentreId): readonly VmId[] =>
-    [...members.values()]
-      .filter((member) => member.dataCentre === dataCentre)
-      .filter((member) => member.state === 'live' || member.state === 'suspect')
-      .map((member) => member.vm)
-      .sort();
+  const listReader = createListReader({
+    vmList: options.vmList,
+    telemetry,
+    metrics,
+    onList: followList,
+    lastPeerContactMs: () => lastPeerContact,
+  });
+
+  const otherDataCentres = () => table.dataCentres().filter((dc) => dc !== self.dataCentre);
+
+  /** Takes over the table of a few peers, because one probe a second would take a minute. */
+  const join = async (): Promise<void> => {
+    nextJoin = monotonicMs() + JOIN_RETRY_MS;
+    const others = table.all().filter((m) => m.dataCentre === self.dataCentre && m.vm !== self.vm);
+    await Promise.all(
+      sample(others, JOIN_PEERS, random).map(async (peer) => {
+        if (!(await prober.probe(peer, 'direct'))) return;
+        if (await tableSync.sync(peer)) nextJoin = Infinity;
+      }),
+    );
+  };
+
+  const tick = (): void => {
+    if (monotonicMs() >= nextJoin) void join();
+    detector.tick();
+    probeRemotely();
+    for (const dc of otherDataCentres()) {
+      const ageS = (monotonicMs() - Math.max(clock.lastHeardMs(dc), startedAt)) / 1_000;
+      metrics.dataCentreAge.set({ data_centre: dc }, ageS);
+    }
+  };
+
+  const stop = async (): Promise<void> => {
+    stopping.abort();
+    clearInterval(ticking);
+  };
 
   return {
-    self: options.self,
-    listLive,
-    members: () => [...members.values()],
-    find: (vm) => members.get(vm),
-    listedVms: () => listed,
-    lastContactMs: () => lastContact,
-    onChange: (listener) => {
-      listeners.add(listener);
-      return () => listeners.delete(listener);
+    self,
+    listLive: table.listLive,
+    members: table.all,
+    find: table.get,
+    listedVms: () => listReader.last()?.map((vm) => vm.id),
+    lastContactMs: () => Math.max(lastPeerContact, lastListRead, startedAt),
+    findAddress: (vm) => table.get(vm)?.peerAddress,
+    otherDataCentres,
+    lastHeardMs: clock.lastHeardMs,
+    isReachable: (dc) => monotonicMs() - clock.lastHeardMs(dc) <= DATA_CENTRE_TIMEOUT_MS,
+    addPayload: (payload) => {
+      payloads.push(payload);
     },
+    onChange: table.onChange,
     start: async () => {
-      setSelf('live');
-      await readList();
-      void repeatUntilAborted(stopping.signal, () => LIST_INTERVAL_MS, readList);
+      table.merge(ownRecord.get());
+      queue.add(self.vm);
+      await listReader.start(stopping.signal);
+      await join();
+      if (stopping.signal.aborted) return;
+      ticking = setInterval(tick, TICK_INTERVAL_MS);
+    },
+    leave: async () => {
+      leavingByCall = true;
+      ownRecord.setState('leaving');
+      detector.probeSome();
     },
-    leave: async () => setSelf('leaving'),
-    stop: async () => stopping.abort(),
+    stop,
   };
 }
--- /dev/null
+++ b/packages/peers/src/remote-prober.ts
@@ -0,0 +1,53 @@
+/** Probes between data centres by the two gateway VMs of each. */
+import { monotonicMs, rankByRendezvous } from '@hibiscusbank/core';
+import type { DataCentreId, Random } from '@hibiscusbank/core';
+import type { MemberTable } from './member-table.js';
+import type { Prober } from './prober.js';
+import type { Member, PeerIdentity } from './types.js';
+
+const REMOTE_PROBE_INTERVAL_MS = 2_000;
+
+/** Regions are tens of milliseconds apart. */
+const REMOTE_PROBE_TIMEOUT_MS = 1_000;
+
+const GATEWAYS_PER_DATA_CENTRE = 2;
+
+/** One of this many probes goes to any known VM, in case all VMs believed live are gone. */
+const PROBES_PER_ANY_VM = 4;
+
+export interface RemoteProberOptions {
+  readonly self: PeerIdentity;
+  readonly table: MemberTable;
+  readonly prober: Prober;
+  readonly random: Random;
+}
+
+/** Creates the step that runs with every tick. */
+export function createRemoteProber(options: RemoteProberOptions): () => void {
+  const { self, table, prober, random } = options;
+  let nextRound = monotonicMs() + random.below(REMOTE_PROBE_INTERVAL_MS);
+
+  const isGateway = (): boolean =>
+    rankByRendezvous(`gateway ${self.dataCentre}`, table.listLive(self.dataCentre))
+      .slice(0, GATEWAYS_PER_DATA_CENTRE)
+      .includes(self.vm);
+
+  const pickTarget = (dataCentre: DataCentreId): Member | undefined => {
+    const all = table.all().filter((member) => member.dataCentre === dataCentre);
+    const live = all.filter((member) => member.state === 'live');
+    const anyVm = live.length === 0 || random.below(PROBES_PER_ANY_VM) === 0;
+    return random.pick(anyVm ? all : live);
+  };
+
+  return () => {
+    const now = monotonicMs();
+    if (now < nextRound) return;
+    nextRound = now + REMOTE_PROBE_INTERVAL_MS;
+    if (!isGateway()) return;
+    for (const dataCentre of table.dataCentres()) {
+      if (dataCentre === self.dataCentre) continue;
+      const target = pickTarget(dataCentre);
+      if (target !== undefined) void prober.probe(target, 'remote', REMOTE_PROBE_TIMEOUT_MS);
+    }
+  };
+}
--- a/packages/peers/src/tcp-network.ts
+++ b/packages/peers/src/tcp-network.ts
@@ -1,17 +1,21 @@
-/** JSON-RPC 2.0 over one TCP connection per pair of nodes. */
-import { createHash } from 'node:crypto';
+/** JSON-RPC 2.0 over one TCP connection per pair of nodes, opened on first use. */
 import { connect, createServer } from 'node:net';
 import type { Server, Socket } from 'node:net';
-import { createError, RouterError, toError, toRouterError } from '@hibiscusbank/core';
-import type { ErrorKind, Telemetry, VmId } from '@hibiscusbank/core';
-import { JSONRPCClient, JSONRPCErrorException, JSONRPCServer } from 'json-rpc-2.0';
-import type { JSONRPCRequest, JSONRPCResponse } from 'json-rpc-2.0';
+import { createError, monotonicMs, RouterError, withTimeout } from '@hibiscusbank/core';
+import type { Telemetry, VmId } from '@hibiscusbank/core';
+import { JSONRPCServer } from 'json-rpc-2.0';
 import { ResultAsync } from 'neverthrow';
-import { readLines } from './lines.js';
-import type { PeerHandler, PeerIdentity, PeerNetwork } from './types.js';
+import { createHandshake } from './hello.js';
+import { createByteCounter, createConnectionGauge } from './metrics.js';
+import { decodeError, encodeError } from './rpc-errors.js';
+import { createConnection } from './tcp-connection.js';
+import type { Connection } from './tcp-connection.js';
+import type { CallOptions, PeerHandler, PeerIdentity, PeerNetwork } from './types.js';
 
 const CONNECT_TIMEOUT_MS = 1_000;
-const APPLICATION_ERROR_CODE = -32000;
+
+/** Calls in this time after a failed connection fail at once, so that retries do not dial in a loop. */
+const RECONNECT_PAUSE_MS = 200;
 
 export interface TcpNetworkOptions {
   readonly self: PeerIdentity;
@@ -20,179 +24,167 @@
   /** `host:port` of a peer, or `undefined` when it is unknown. */
   readonly findAddress: (vm: VmId) => string | undefined;
   readonly telemetry: Telemetry;
+  /** Higher for every process on the same VM; the time of creation by default. */
+  readonly incarnation?: number;
 }
 
-interface ErrorData {
-  kind: ErrorKind;
-  retryAfterMs?: number;
-  effect?: 'not_run' | 'unknown';
-  info?: Record<string, unknown>;
-}
-
-interface Connection {
-  readonly client: JSONRPCClient;
-  readonly socket: Socket;
-}
-
-interface Hello extends PeerIdentity {
-  readonly secretDigest: string;
-}
-
-function digestSecret(secret: string): string {
-  return createHash('sha256').update(secret).digest('hex');
-}
-
-function encodeError(thrown: unknown): JSONRPCErrorException {
-  const error = toRouterError(thrown);
-  const data: ErrorData = { kind: error.kind };
-  if (error.retryAfterMs !== undefined) data.retryAfterMs = error.retryAfterMs;
-  if (error.effect !== undefined) data.effect = error.effect;
-  return new JSONRPCErrorException(error.message, APPLICATION_ERROR_CODE, data);
+function parseAddress(address: string): { host: string; port: number } {
+  const separator = address.lastIndexOf(':');
+  return { host: address.slice(0, separator), port: Number(address.slice(separator + 1)) };
 }
 
-function decodeError(thrown: unknown, to: VmId): RouterError {
-  if (thrown instanceof JSONRPCErrorException && thrown.data !== undefined) {
-    const { kind, ...options } = thrown.data as ErrorData;
-    return createError(kind, thrown.message, options);
-  }
-  const cause = toError(thrown);
-  const kind = cause.message === 'Request timeout' ? 'timeout' : 'peer_unavailable';
-  return createError(kind, `no answer from VM ${to}; it may be down`, { cause });
+function waitForConnect(socket: Socket): Promise<void> {
+  return new Promise((resolve, reject) => {
+    socket.once('connect', resolve);
+    socket.once('error', reject);
+    socket.once('close', () => reject(new Error('connection closed')));
+  });
 }
 
 /** Creates the network of one node. */
 export function createTcpNetwork(options: TcpNetworkOptions): PeerNetwork {
+  const { self, telemetry } = options;
   const handlers = new Map<string, PeerHandler>();
-  const connections = new Map<VmId, Promise<Connection>>();
-  const sockets = new Set<Socket>();
-  const secretDigest = digestSecret(options.secret);
+  const connections = new Map<VmId, Connection>();
+  const dialling = new Map<VmId, Promise<Connection>>();
+  const failedAt = new Map<VmId, number>();
+  const open = new Set<Connection>();
+  const bytes = createByteCounter(telemetry);
+  const openConnections = createConnectionGauge(telemetry);
+  const incarnation = options.incarnation ?? Date.now();
+  const handshake = createHandshake({ ...self, incarnation }, options.secret);
+  const rpc = new JSONRPCServer<Connection>({ errorListener: () => {} });
   let server: Server | undefined;
+  let stopped = false;
 
-  const countBytes = (text: string): void => {
-    options.telemetry.metrics.controlBytes.inc({ class: 'peer' }, text.length);
+  const forget = (connection: Connection): void => {
+    open.delete(connection);
+    openConnections.set(open.size);
+    const vm = connection.peer?.vm;
+    if (vm !== undefined && connections.get(vm) === connection) connections.delete(vm);
   };
 
-  const writeLine = (socket: Socket, message: unknown): void => {
-    const line = `${JSON.stringify(message)}\n`;
-    countBytes(line);
-    socket.write(line);
+  /** A process that replaced another on the same VM makes the connection of the old one useless. */
+  const register = (connection: Connection): void => {
+    const { peer } = connection;
+    if (peer === undefined) return;
+    failedAt.delete(peer.vm);
+    const existing = connections.get(peer.vm);
+    if (existing === undefined) {
+      connections.set(peer.vm, connection);
+    } else if ((existing.peer?.incarnation ?? 0) < peer.incarnation) {
+      connections.set(peer.vm, connection);
+      existing.close('the peer was restarted');
+    }
   };
 
-  const acceptConnection = (socket: Socket): void => {
-    let peer: PeerIdentity | undefined;
-    const rpc = new JSONRPCServer({ errorListener: () => {} });
-    const run = async (handler: PeerHandler, params: unknown): Promise<unknown> => {
-      if (peer === undefined) throw encodeError(createError('unauthorised', 'send hello first'));
-      try {
-        return (await handler(params, peer)) ?? null;
-      } catch (thrown) {
-        throw encodeError(thrown);
-      }
-    };
-    handlers.forEach((handler, method) => {
-      rpc.addMethod(method, (params: unknown) => run(handler, params));
-    });
-    rpc.addMethod('hello', (params: Hello) => {
-      if (params.secretDigest !== secretDigest) {
-        socket.end();
-        throw encodeError(createError('unauthorised', 'wrong peer_secret; compare the settings'));
-      }
-      peer = { vm: params.vm, dataCentre: params.dataCentre };
-      return options.self;
-    });
-    sockets.add(socket);
-    socket.setNoDelay(true);
-    socket.on('error', () => {});
-    socket.on('close', () => sockets.delete(socket));
-    readLines(socket, (line) => {
-      void rpc.receiveJSON(line).then((res) => {
-        if (res !== null && !socket.destroyed) writeLine(socket, res);
-      });
-    });
+  const attach = (socket: Socket): Connection => {
+    const connection = createConnection({ socket, server: rpc, bytes, onClose: forget });
+    open.add(connection);
+    openConnections.set(open.size);
+    return connection;
   };
 
-  const openConnection = (to: VmId): Promise<Connection> =>
-    new Promise((resolve, reject) => {
-      const address = options.findAddress(to);
-      if (address === undefined) {
-        reject(new Error(`the address of VM ${to} is unknown`));
-        return;
-      }
-      const separator = address.lastIndexOf(':');
-      const socket = connect({
-        host: address.slice(0, separator),
-        port: Number(address.slice(separator + 1)),
-        timeout: CONNECT_TIMEOUT_MS,
-      });
-      const client = new JSONRPCClient((message: JSONRPCRequest) => {
-        if (socket.destroyed) throw new Error('connection closed');
-        writeLine(socket, message);
-      });
-      const close = (error: Error): void => {
-        connections.delete(to);
-        socket.destroy();
-        client.rejectAllPendingRequests(error.message);
-        reject(error);
-      };
-      sockets.add(socket);
-      socket.setNoDelay(true);
-      socket.on('error', close);
-      socket.on('timeout', () => close(new Error('connect timeout')));
-      socket.on('close', () => {
-        sockets.delete(socket);
-        close(new Error('connection closed'));
-      });
-      socket.on('connect', () => {
-        socket.setTimeout(0);
-        client
-          .timeout(CONNECT_TIMEOUT_MS)
-          .request('hello', { ...options.self, secretDigest })
-          .then(() => resolve({ client, socket }), close);
-      });
-      readLines(socket, (line) => client.receive(JSON.parse(line) as JSONRPCResponse));
-    });
+  const runHandler = async (
+    handler: PeerHandler,
+    params: unknown,
+    { peer }: Connection,
+  ): Promise<unknown> => {
+    if (peer === undefined) throw encodeError(createError('unauthorised', 'send hello first'));
+    try {
+      return (await handler(params, { vm: peer.vm, dataCentre: peer.dataCentre })) ?? null;
+    } catch (thrown) {
+      throw encodeError(thrown);
+    }
+  };
+
+  rpc.addMethod('hello', (params: unknown, connection: Connection) => {
+    try {
+      const reply = handshake.accept(params, connection);
+      register(connection);
+      return reply;
+    } catch (thrown) {
+      setImmediate(() => connection.end());
+      throw encodeError(thrown);
+    }
+  });
+
+  const dial = async (to: VmId): Promise<Connection> => {
+    const address = options.findAddress(to);
+    if (address === undefined) throw new Error(`the address of VM ${to} is unknown`);
+    const socket = connect(parseAddress(address));
+    const connection = attach(socket);
+    try {
+      await withTimeout(waitForConnect(socket), CONNECT_TIMEOUT_MS, `connecting to VM ${to}`);
+      await handshake.greet(connection, to, CONNECT_TIMEOUT_MS);
+    } catch (thrown) {
+      connection.close('connection not established');
+      failedAt.set(to, monotonicMs());
+      telemetry.log('peerConnectionFailed', { peer: to, address, error: String(thrown) });
+      throw thrown;
+    }
+    register(connection);
+    return connection;
+  };
 
   const getConnection = (to: VmId): Promise<Connection> => {
+    if (stopped) return Promise.reject(new Error('the network is stopped'));
     const existing = connections.get(to);
-    if (existing !== undefined) return existing;
-    const opened = openConnection(to);
-    connections.set(to, opened);
-    opened.catch(() => connections.delete(to));
-    return opened;
+    if (existing?.isOpen()) return Promise.resolve(existing);
+    const pending = dialling.get(to);
+    if (pending !== undefined) return pending;
+    if (monotonicMs() - (failedAt.get(to) ?? -Infinity) < RECONNECT_PAUSE_MS) {
+      return Promise.reject(new Error(`VM ${to} refused a connection a moment ago`));
+    }
+    const dialled = dial(to).finally(() => dialling.delete(to));
+    dialling.set(to, dialled);
+    return dialled;
+  };
+
+  const callSelf = async (method: string, params: unknown): Promise<unknown> => {
+    const handler = handlers.get(method);
+    if (handler === undefined) throw createError('internal', `no handler for ${method}`);
+    return handler(params, self);
+  };
+
+  const callPeer = async (
+    to: VmId,
+    method: string,
+    params: unknown,
+    { timeoutMs }: CallOptions,
+  ): Promise<unknown> => {
+    if (to === self.vm) return callSelf(method, params);
+    const deadline = monotonicMs() + timeoutMs;
+    const connection = await withTimeout(getConnection(to), timeoutMs, `connecting to VM ${to}`);
+    return connection.call(method, params, Math.max(1, deadline - monotonicMs()));
   };
 
   return {
-    self: options.self,
+    self,
     handle: (method, handler) => {
       handlers.set(method, handler);
+      rpc.addMethod(method, (params: unknown, connection: Connection) =>
+        runHandler(handler, params, connection),
+      );
     },
-    call: <T>(to: VmId, method: string, params: unknown, { timeoutMs }: { timeoutMs: number }) =>
-      ResultAsync.fromPromise(
-        (async () => {
-          if (to === options.self.vm) {
-            const handler = handlers.get(method);
-            if (handler === undefined) throw createError('internal', `no handler for ${method}`);
-            return (await handler(params, options.self)) as T;
-          }
-          const { client } = await getConnection(to);
-          return (await client.timeout(timeoutMs).request(method, params)) as T;
-        })(),
-        (thrown) => (thrown instanceof RouterError ? thrown : decodeError(thrown, to)),
+    call: <T>(to: VmId, method: string, params: unknown, callOptions: CallOptions) =>
+      ResultAsync.fromPromise(callPeer(to, method, params, callOptions) as Promise<T>, (thrown) =>
+        thrown instanceof RouterError ? thrown : decodeError(thrown, to),
       ),
     start: () =>
       new Promise((resolve, reject) => {
-        server = createServer(acceptConnection);
+        server = createServer(attach);
         server.once('error', reject);
         server.listen(options.listen.port, options.listen.host, () => resolve());
       }),
     stop: async () => {
-      for (const socket of sockets) socket.destroy();
+      stopped = true;
+      for (const connection of [...open]) connection.close('the network is stopped');
       const closing = server;
-      if (closing?.listening) {
-        await new Promise<void>((resolve) => {
-          closing.close(() => resolve());
-        });
-      }
+      if (!closing?.listening) return;
+      await new Promise<void>((resolve) => {
+        closing.close(() => resolve());
+      });
     },
   };
 }
--- a/packages/peers/src/types.ts
+++ b/packages/peers/src/types.ts
@@ -38,6 +38,23 @@
   readonly dataCentre: DataCentreId;
   readonly peerAddress: string;
   readonly state: MemberState;
+  /**
+   * Orders reports about one VM. Raised by the VM itself, when its process starts and when it refutes
+   * a report; 0 while the VM is only known from the VM list and has given no sign of life.
+   */
+  readonly incarnation: number;
+}
+
+/** Which probes carry a payload: those inside the data centre, those between them, or both. */
+export type PayloadScope = 'local' | 'remote' | 'all';
+
+/** A small value that another module sends along with probes and their replies. */
+export interface ProbePayload {
+  readonly name: string;
+  readonly scope: PayloadScope;
+  /** The value to send, or `undefined` for none. */
+  readonly read: () => unknown;
+  readonly receive: (value: unknown, from: PeerIdentity) => void;
 }
 
 export interface Membership {
@@ -51,7 +68,23 @@
   listedVms(): readonly VmId[] | undefined;
   /** Monotonic time of the last answer from the platform's list or any peer. */
   lastContactMs(): number;
-  /** Registers a listener; returns a function that removes it. */
+  /** `host:port` of a VM that is a member or on the VM list. */
+  findAddress(vm: VmId): string | undefined;
+  /** Other data centres that have listed or known VMs, sorted. */
+  otherDataCentres(): readonly DataCentreId[];
+  /**
+   * Monotonic time of the last sign of life of another data centre that reached any VM of this one;
+   * `-Infinity` before the first.
+   */
+  lastHeardMs(dataCentre: DataCentreId): number;
+  /** Whether the data centre gave a sign of life within `DATA_CENTRE_TIMEOUT_MS`. */
+  isReachable(dataCentre: DataCentreId): boolean;
+  /** Sends a payload along with probes. Register before `start`. */
+  addPayload(payload: ProbePayload): void;
+  /**
+   * Registers a listener for changes of state, incarnation or address; returns a function that
+   * removes it. A higher incarnation in state `live` means a restart or a refutation.
+   */
   onChange(listener: (member: Member) => void): () => void;
   start(): Promise<void>;
   /** Announces that this VM leaves; it owns nothing from then on. */
--- /dev/null
+++ b/packages/peers/test/fleet.ts
@@ -0,0 +1,105 @@
+/** A fleet of membership instances in one process over the memory hub. */
+import { createError, createRandom, createTelemetry, dataCentreId, vmId } from '@hibiscusbank/core';
+import type { Random, Telemetry, VmId } from '@hibiscusbank/core';
+import { createMembership, createMemoryHub } from '@hibiscusbank/peers';
+import type { Membership, MemoryHub, PeerIdentity, PeerNetwork } from '@hibiscusbank/peers';
+import type { ListedVm, VmList } from '@hibiscusbank/platform';
+import { errAsync, okAsync } from 'neverthrow';
+import { vi } from 'vitest';
+
+export interface TestNode {
+  readonly self: PeerIdentity;
+  readonly network: PeerNetwork;
+  readonly membership: Membership;
+  readonly telemetry: Telemetry;
+}
+
+export interface TestVmList extends VmList {
+  vms: ListedVm[];
+  isDown: boolean;
+}
+
+export function createTestVmList(): TestVmList {
+  const list: TestVmList = {
+    vms: [],
+    isDown: false,
+    read: () =>
+      list.isDown ? errAsync(createError('platform_unavailable', 'out')) : okAsync([...list.vms]),
+  };
+  return list;
+}
+
+export interface TestFleet {
+  readonly hub: MemoryHub;
+  readonly vmList: TestVmList;
+  readonly nodes: Map<VmId, TestNode>;
+  readonly random: Random;
+  /** Adds a VM to the list and starts its process. */
+  start(name: string, dataCentre?: string, isListed?: boolean): Promise<TestNode>;
+  kill(node: TestNode): Promise<void>;
+  stop(): Promise<void>;
+}
+
+export function createTestFleet(seed = 1): TestFleet {
+  const random = createRandom(seed);
+  const hub = createMemoryHub(random);
+  const vmList = createTestVmList();
+  const nodes = new Map<VmId, TestNode>();
+  const kill = async (node: TestNode): Promise<void> => {
+    nodes.delete(node.self.vm);
+    await node.membership.stop();
+    await node.network.stop();
+  };
+  return {
+    hub,
+    vmList,
+    nodes,
+    random,
+    kill,
+    start: async (name, dataCentre = 'a', isListed = true) => {
+      const self = { vm: vmId(name), dataCentre: dataCentreId(dataCentre) };
+      const peerAddress = `${name}:1`;
+      if (isListed && !vmList.vms.some((vm) => vm.id === self.vm)) {
+        vmList.vms.push({ id: self.vm, dataCentre: self.dataCentre, peerAddress, state: 'live' });
+      }
+      const telemetry = createTelemetry(self, () => {});
+      const network = hub.createNetwork({ self, telemetry });
+      const selfAddress = peerAddress;
+      const memberRandom = createRandom(random.below(1e9));
+      const membership = createMembership({
+        self,
+        selfAddress,
+        network,
+        vmList,
+        telemetry,
+        random: memberRandom,
+      });
+      const node = { self, network, membership, telemetry };
+      nodes.set(self.vm, node);
+      await network.start();
+      const started = membership.start();
+      await vi.advanceTimersByTimeAsync(20);
+      void started;
+      return node;
+    },
+    stop: async () => {
+      for (const node of [...nodes.values()]) await kill(node);
+    },
+  };
+}
+
+/** Starts `count` VMs in each data centre, named `<data centre><number>`, and lets them meet. */
+export async function startFleet(
+  fleet: TestFleet,
+  dataCentres: readonly string[],
+  count: number,
+): Promise<TestNode[]> {
+  const started: TestNode[] = [];
+  for (const dataCentre of dataCentres) {
+    for (let i = 0; i < count; i += 1) {
+      started.push(await fleet.start(`${dataCentre}${i}`, dataCentre));
+    }
+  }
+  await vi.advanceTimersByTimeAsync(30_000);
+  return started;
+}
--- /dev/null
+++ b/packages/peers/test/membership.test.ts
@@ -0,0 +1,209 @@
+import { dataCentreId, vmId } from '@hibiscusbank/core';
+import { afterEach, beforeEach, expect, test, vi } from 'vitest';
+import { createTestFleet, startFleet } from './fleet.js';
+import type { TestFleet, TestNode } from './fleet.js';
+
+let fleet: TestFleet;
+
+beforeEach(() => {
+  vi.useFakeTimers();
+  fleet = createTestFleet();
+});
+
+afterEach(async () => {
+  const violations = [...fleet.nodes.values()].flatMap((node) =>
+    node.telemetry.invariants.violations(),
+  );
+  await fleet.stop();
+  vi.useRealTimers();
+  expect(violations).toEqual([]);
+});
+
+const wait = (ms: number) => vi.advanceTimersByTimeAsync(ms);
+
+const liveIn = (node: TestNode | undefined, dataCentre = 'a') =>
+  node?.membership.listLive(dataCentreId(dataCentre));
+
+const stateOf = (node: TestNode | undefined, name: string) =>
+  node?.membership.find(vmId(name))?.state;
+
+/** Advances until the condition holds; returns whether it did within the limit. */
+async function waitUntil(limitMs: number, holds: () => boolean): Promise<boolean> {
+  for (let ms = 0; ms < limitMs && !holds(); ms += 100) await wait(100);
+  return holds();
+}
+
+test('a killed VM is declared dead on all others although the VM list still has it', async () => {
+  const nodes = await startFleet(fleet, ['a'], 8);
+  const [victim, ...others] = nodes as [TestNode, ...TestNode[]];
+  await fleet.kill(victim);
+  const allSee = () => others.every((node) => stateOf(node, 'a0') === 'dead');
+  expect(await waitUntil(20_000, allSee)).toBe(true);
+  expect(liveIn(others[0])).toHaveLength(7);
+});
+
+test('a VM that the lagging list lacks is accepted as soon as it probes', async () => {
+  await startFleet(fleet, ['a'], 4);
+  const late = await fleet.start('late', 'a', false);
+  const allSee = () =>
+    [...fleet.nodes.values()].every((node) => liveIn(node)?.includes(vmId('late')));
+  expect(await waitUntil(10_000, allSee)).toBe(true);
+  expect(liveIn(late)).toHaveLength(5);
+});
+
+test('a VM started while the VM list is down joins when the list returns', async () => {
+  await startFleet(fleet, ['a'], 6);
+  fleet.vmList.isDown = true;
+  const late = await fleet.start('late', 'a', false);
+  await wait(10_000);
+  fleet.vmList.isDown = false;
+  expect(await waitUntil(6_000, () => liveIn(late)?.length === 7)).toBe(true);
+});
+
+test('a listed VM that never answers is not live', async () => {
+  const peerAddress = 'ghost:1';
+  const [node] = await startFleet(fleet, ['a'], 3);
+  fleet.vmList.vms.push({
+    id: vmId('ghost'),
+    dataCentre: dataCentreId('a'),
+    peerAddress,
+    state: 'live',
+  });
+  await wait(40_000);
+  expect(stateOf(node, 'ghost')).toBe('dead');
+  expect(node?.membership.findAddress(vmId('ghost'))).toBe(peerAddress);
+});
+
+test('a process paused past its suspicion is declared dead, then refutes on waking', async () => {
+  const nodes = await startFleet(fleet, ['a'], 6);
+  const observer = nodes[1];
+  fleet.hub.freeze(vmId('a0'));
+  expect(await waitUntil(30_000, () => stateOf(observer, 'a0') === 'dead')).toBe(true);
+  fleet.hub.thaw(vmId('a0'));
+  const allLive = () => nodes.every((node) => liveIn(node)?.length === 6);
+  expect(await waitUntil(20_000, allLive)).toBe(true);
+});
+
+test('a pause of the own process does not make its peers dead', async () => {
+  const nodes = await startFleet(fleet, ['a'], 4);
+  const states: string[] = [];
+  nodes[0]?.membership.onChange((member) => states.push(member.state));
+  const { clock } = setTimeout as unknown as { clock: { jump(ms: number): void } };
+  clock.jump(10_000);
+  await wait(10_000);
+  expect(states).not.toContain('dead');
+  expect(liveIn(nodes[0])).toHaveLength(4);
+});
+
+test('loss in one direction between two VMs does not make either dead', async () => {
+  const nodes = await startFleet(fleet, ['a'], 5);
+  const states: string[] = [];
+  for (const node of nodes) node.membership.onChange((member) => states.push(member.state));
+  fleet.hub.setBlocked((from, to) => from.vm === vmId('a0') && to.vm === vmId('a1'));
+  await wait(60_000);
+  expect(states).not.toContain('dead');
+});
+
+test('a restarted process is accepted at once under a higher incarnation', async () => {
+  const nodes = await startFleet(fleet, ['a'], 5);
+  const before = nodes[1]?.membership.find(vmId('a0'))?.incarnation ?? 0;
+  await fleet.kill(nodes[0] as TestNode);
+  const restarted = await fleet.start('a0');
+  expect(liveIn(restarted)).toHaveLength(5);
+  const seen = () => (nodes[1]?.membership.find(vmId('a0'))?.incarnation ?? 0) > before;
+  expect(await waitUntil(5_000, seen)).toBe(true);
+  expect(stateOf(nodes[1], 'a0')).toBe('live');
+});
+
+test('a restarted process whose clock went back is accepted', async () => {
+  const nodes = await startFleet(fleet, ['a'], 5);
+  await fleet.kill(nodes[0] as TestNode);
+  await wait(15_000);
+  vi.setSystemTime(Date.now() - 3_600_000);
+  await fleet.start('a0');
+  const accepted = () => nodes.slice(1).every((node) => stateOf(node, 'a0') === 'live');
+  expect(await waitUntil(10_000, accepted)).toBe(true);
+});
+
+test('a leaving VM owns nothing any more and is not brought back when it stops', async () => {
+  const nodes = await startFleet(fleet, ['a'], 5);
+  const states: string[] = [];
+  await nodes[0]?.membership.leave();
+  expect(await waitUntil(8_000, () => nodes.every((n) => liveIn(n)?.length === 4))).toBe(true);
+  nodes[1]?.membership.onChange((member) => states.push(member.state));
+  await fleet.kill(nodes[0] as TestNode);
+  expect(await waitUntil(20_000, () => stateOf(nodes[1], 'a0') === 'dead')).toBe(true);
+  expect(states).toEqual(['dead']);
+});
+
+test('VMs that are not gateways learn of other data centres and of deaths there', async () => {
+  const nodes = await startFleet(fleet, ['a', 'b', 'c'], 4);
+  const knowsAll = () =>
+    nodes.every((n) => ['a', 'b', 'c'].every((dc) => liveIn(n, dc)?.length === 4));
+  expect(await waitUntil(30_000, knowsAll)).toBe(true);
+  await fleet.kill(nodes[11] as TestNode);
+  const seen = () => nodes.slice(0, 11).every((node) => stateOf(node, 'c3') === 'dead');
+  expect(await waitUntil(40_000, seen)).toBe(true);
+});
+
+test('a partition between data centres shows as unreachable and heals', async () => {
+  const nodes = await startFleet(fleet, ['a', 'b'], 4);
+  const reachable = (dc: string) => (node: TestNode) =>
+    node.membership.isReachable(dataCentreId(dc));
+  const inA = nodes.slice(0, 4);
+  expect(inA.every(reachable('b'))).toBe(true);
+  fleet.hub.setBlocked((from, to) => from.dataCentre !== to.dataCentre);
+  expect(await waitUntil(25_000, () => !inA.some(reachable('b')))).toBe(true);
+  expect(liveIn(inA[0])).toHaveLength(4);
+  await fleet.kill(nodes[7] as TestNode);
+  await wait(30_000);
+  fleet.hub.setBlocked(() => false);
+  expect(await waitUntil(15_000, () => inA.every(reachable('b')))).toBe(true);
+  expect(await waitUntil(40_000, () => stateOf(inA[0], 'b3') === 'dead')).toBe(true);
+});
+
+test('two halves of a data centre that declared each other dead reunite after the partition', async () => {
+  const nodes = await startFleet(fleet, ['a'], 6);
+  const isLow = (vm: string) => vm < 'a3';
+  fleet.hub.setBlocked((from, to) => isLow(from.vm) !== isLow(to.vm));
+  expect(await waitUntil(40_000, () => nodes.every((n) => liveIn(n)?.length === 3))).toBe(true);
+  fleet.hub.setBlocked(() => false);
+  expect(await waitUntil(30_000, () => nodes.every((n) => liveIn(n)?.length === 6))).toBe(true);
+});
+
+test('with the VM list down, failures are still detected and the last list is kept', async () => {
+  const nodes = await startFleet(fleet, ['a'], 4);
+  fleet.vmList.isDown = true;
+  await fleet.kill(nodes[0] as TestNode);
+  expect(await waitUntil(20_000, () => stateOf(nodes[1], 'a0') === 'dead')).toBe(true);
+  expect(nodes[1]?.membership.listedVms()).toHaveLength(4);
+});
+
+test('payloads reach peers of their scope only', async () => {
+  const nodes = await startFleet(fleet, ['a', 'b'], 2);
+  const received: string[] = [];
+  for (const node of nodes) {
+    node.membership.addPayload({
+      name: 'x',
+      scope: 'local',
+      read: () => 1,
+      receive: (_, from) => received.push(`${from.dataCentre}>${node.self.dataCentre}`),
+    });
+  }
+  await wait(10_000);
+  expect(new Set(received)).toEqual(new Set(['a>a', 'b>b']));
+});
+
+test('a node sends no more as the data centre grows', async () => {
+  const readBytes = async (node: TestNode): Promise<number> => {
+    const { values } = await node.telemetry.metrics.controlBytes.get();
+    return values.reduce((sum, { value }) => sum + value, 0);
+  };
+  const nodes = await startFleet(fleet, ['a'], 40);
+  await wait(60_000);
+  const before = await Promise.all(nodes.map(readBytes));
+  await wait(60_000);
+  const after = await Promise.all(nodes.map(readBytes));
+  const perSecond = after.map((bytes, i) => (bytes - (before[i] ?? 0)) / 60);
+  expect(Math.max(...perSecond)).toBeLessThan(4_000);
+});
--- /dev/null
+++ b/packages/peers/test/tcp-network.test.ts
@@ -0,0 +1,158 @@
+import { connect, createServer } from 'node:net';
+import type { AddressInfo, Socket } from 'node:net';
+import { createError, createTelemetry, dataCentreId, unwrap, vmId } from '@hibiscusbank/core';
+import type { RouterError, Telemetry, VmId } from '@hibiscusbank/core';
+import { createTcpNetwork } from '@hibiscusbank/peers';
+import type { PeerNetwork } from '@hibiscusbank/peers';
+import type { Result } from 'neverthrow';
+import { afterEach, beforeEach, expect, test, vi } from 'vitest';
+
+const addresses = new Map<VmId, string>();
+const networks: PeerNetwork[] = [];
+
+async function findPort(): Promise<number> {
+  const server = createServer();
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const { port } = server.address() as AddressInfo;
+  await new Promise((resolve) => {
+    server.close(resolve);
+  });
+  return port;
+}
+
+interface Started {
+  readonly network: PeerNetwork;
+  readonly telemetry: Telemetry;
+  readonly port: number;
+}
+
+async function startNetwork(name: string, secret = 's', usePort?: number): Promise<Started> {
+  const self = { vm: vmId(name), dataCentre: dataCentreId('a') };
+  const port = usePort ?? (await findPort());
+  addresses.set(self.vm, `127.0.0.1:${port}`);
+  const telemetry = createTelemetry(self, () => {});
+  const network = createTcpNetwork({
+    self,
+    listen: { host: '127.0.0.1', port },
+    secret,
+    findAddress: (vm) => addresses.get(vm),
+    telemetry,
+  });
+  networks.push(network);
+  network.handle('member.echo', async (params, from) => ({ params, from: from.vm }));
+  network.handle('quota.fail', async () => {
+    throw createError('rate_exceeded', 'wait', { retryAfterMs: 7 });
+  });
+  await network.start();
+  return { network, telemetry, port };
+}
+
+// Sockets need the real event loop; only timers stand still, so that no timeout hides a hang.
+beforeEach(() => {
+  vi.useFakeTimers({ toFake: ['setTimeout', 'clearTimeout', 'performance'] });
+});
+
+afterEach(async () => {
+  await Promise.all(networks.splice(0).map((network) => network.stop()));
+  vi.useRealTimers();
+});
+
+const options = { timeoutMs: 500 };
+
+const errorOf = (result: Result<unknown, RouterError>) =>
+  result.isErr() ? result.error : undefined;
+
+test('calls pass in both directions over one connection', async () => {
+  const a = await startNetwork('a');
+  const b = await startNetwork('b');
+  const there = await a.network.call(vmId('b'), 'member.echo', { x: 1 }, options);
+  const back = await b.network.call(vmId('a'), 'member.echo', { x: 2 }, options);
+  expect(unwrap(there)).toEqual({ params: { x: 1 }, from: 'a' });
+  expect(unwrap(back)).toEqual({ params: { x: 2 }, from: 'b' });
+  const metrics = await b.telemetry.metrics.registry.metrics();
+  expect(metrics).toContain('hibiscusbank_peer_connections 1');
+});
+
+test('a handler error keeps its kind and retry time', async () => {
+  const a = await startNetwork('a');
+  await startNetwork('b');
+  const result = await a.network.call(vmId('b'), 'quota.fail', {}, options);
+  expect(errorOf(result)).toMatchObject({ kind: 'rate_exceeded', retryAfterMs: 7 });
+});
+
+test('a peer with another secret is refused', async () => {
+  const a = await startNetwork('a', 'other');
+  await startNetwork('b');
+  const result = await a.network.call(vmId('b'), 'member.echo', {}, options);
+  expect(errorOf(result)?.kind).toBe('unauthorised');
+});
+
+test('calls before hello are refused', async () => {
+  const { port } = await startNetwork('b');
+  const socket: Socket = connect({ host: '127.0.0.1', port });
+  const answered = new Promise<string>((resolve) => {
+    socket.once('data', (data) => resolve(data.toString()));
+  });
+  socket.write('{"jsonrpc":"2.0","id":1,"method":"member.echo","params":{}}\n');
+  const answer = await answered;
+  socket.destroy();
+  expect(answer).toContain('send hello first');
+});
+
+test('an address that another VM took over is not mistaken for the old VM', async () => {
+  const a = await startNetwork('a');
+  const b = await startNetwork('b');
+  addresses.set(vmId('gone'), `127.0.0.1:${b.port}`);
+  const result = await a.network.call(vmId('gone'), 'member.echo', {}, options);
+  expect(errorOf(result)?.kind).toBe('peer_unavailable');
+});
+
+test('a call to a handler that never answers times out', async () => {
+  const a = await startNetwork('a');
+  const b = await startNetwork('b');
+  await a.network.call(vmId('b'), 'member.echo', {}, options);
+  const running = new Promise<void>((resolve) => {
+    b.network.handle('quota.hang', () => {
+      resolve();
+      return new Promise(() => {});
+    });
+  });
+  const pending = a.network.call(vmId('b'), 'quota.hang', {}, options);
+  await running;
+  vi.advanceTimersByTime(500);
+  expect(errorOf(await pending)?.kind).toBe('timeout');
+});
+
+test('a closed connection fails pending calls at once and the next call reconnects', async () => {
+  const a = await startNetwork('a');
+  const b = await startNetwork('b');
+  const running = new Promise<void>((resolve) => {
+    b.network.handle('quota.hang', () => {
+      resolve();
+      return new Promise(() => {});
+    });
+  });
+  const pending = a.network.call(vmId('b'), 'quota.hang', {}, { timeoutMs: 60_000 });
+  await running;
+  await b.network.stop();
+  expect(errorOf(await pending)?.kind).toBe('peer_unavailable');
+  await startNetwork('b', 's', b.port);
+  const again = await a.network.call(vmId('b'), 'member.echo', {}, options);
+  expect(again.isOk()).toBe(true);
+});
+
+test('bytes are counted by class of method, replies included', async () => {
+  const a = await startNetwork('a');
+  await startNetwork('b');
+  await a.network.call(vmId('b'), 'member.echo', { text: 'x'.repeat(1_000) }, options);
+  await a.network.call(vmId('b'), 'quota.fail', { text: 'y'.repeat(5_000) }, options);
+  const { values } = await a.telemetry.metrics.controlBytes.get();
+  const bytes = Object.fromEntries(values.map(({ labels, value }) => [labels.class, value]));
+  expect(bytes.control).toBeGreaterThan(1_000);
+  expect(bytes.control).toBeLessThan(5_000);
+  expect(bytes.request).toBeGreaterThan(5_000);
+  const received = await a.telemetry.metrics.registry.metrics();
+  expect(received).toMatch(/peer_received_bytes_total\{class="control"\} 1\d\d\d/u);
+});
