Replace the thin scheduler by cells with owners

Each node decided alone with its own counts, so that several nodes together could overload an engine and no order between organisations existed.

--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -5,7 +5,7 @@
 import { createMembership, createTcpNetwork } from '@hibiscusbank/peers';
 import type { Membership } from '@hibiscusbank/peers';
 import { createLocalQuota } from '@hibiscusbank/quota';
-import { createLocalScheduler } from '@hibiscusbank/scheduler';
+import { createScheduler } from '@hibiscusbank/scheduler';
 import type { NodeSettings } from '@hibiscusbank/settings';
 import { createAdminServer } from './admin.js';
 import type { NodePorts, RouterNode } from './types.js';
@@ -37,7 +37,16 @@
     unconfirmedKeysMs: settings.limits.unconfirmedKeysMs,
   });
   const quota = createLocalQuota(self.vm, configuration);
-  const scheduler = createLocalScheduler(self.vm, configuration, telemetry);
+  const scheduler = createScheduler({
+    network,
+    membership,
+    configuration,
+    telemetry,
+    // Cells have no leases yet: every owner counts as the holder of epoch 1.
+    holdsLease: () => 1,
+    coldShareWithoutLease: () => false,
+    leaveLimitMs: settings.limits.drainTimeoutMs,
+  });
   const gateway = createGateway({
     vm: self.vm,
     listen: settings.listen,
--- a/packages/scheduler/src/index.ts
+++ b/packages/scheduler/src/index.ts
@@ -1,2 +1,3 @@
-export * from './local-scheduler.js';
+export * from './partition.js';
+export * from './scheduler.js';
 export * from './types.js';
--- /dev/null
+++ b/packages/scheduler/src/prefill-backlog.ts
@@ -0,0 +1,36 @@
+/** Prefills that one engine has to run; an engine runs them one after another. */
+import type { GrantId } from '@hibiscusbank/core';
+
+export interface PrefillBacklog {
+  add(grant: GrantId, estimateMs: number, now: number): void;
+  remove(grant: GrantId, now: number): void;
+  /** Time until the engine is expected to have run all of them. */
+  remainingMs(now: number): number;
+  count(): number;
+}
+
+/** Creates the backlog of one engine. */
+export function createPrefillBacklog(): PrefillBacklog {
+  const pending = new Map<GrantId, number>();
+  let totalMs = 0;
+  let headSince = 0;
+  const headMs = (): number => pending.values().next().value ?? 0;
+  return {
+    add: (grant, estimateMs, now) => {
+      if (pending.has(grant)) return;
+      if (pending.size === 0) headSince = now;
+      pending.set(grant, estimateMs);
+      totalMs += estimateMs;
+    },
+    remove: (grant, now) => {
+      const estimateMs = pending.get(grant);
+      if (estimateMs === undefined) return;
+      if (pending.keys().next().value === grant) headSince = now;
+      pending.delete(grant);
+      totalMs = pending.size === 0 ? 0 : totalMs - estimateMs;
+    },
+    // An overdue head says nothing about the prefills behind it, so only its own time elapses.
+    remainingMs: (now) => totalMs - Math.min(headMs(), now - headSince),
+    count: () => pending.size,
+  };
+}
--- a/packages/scheduler/src/types.ts
+++ b/packages/scheduler/src/types.ts
@@ -10,7 +10,7 @@
   UpstreamId,
   VmId,
 } from '@hibiscusbank/core';
-import type { Urgency } from '@hibiscusbank/settings';
+import type { UpstreamEntry, Urgency } from '@hibiscusbank/settings';
 import type { ResultAsync } from 'neverthrow';
 
 export interface PlacementRequest {
@@ -123,3 +123,35 @@
   leave(): Promise<void>;
   stop(): Promise<void>;
 }
+
+/** Time that the work of each role waits in a cell. */
+export interface RoleBacklogs {
+  readonly prefillMs: number;
+  readonly decodeMs: number;
+}
+
+export interface CellDescription {
+  readonly id: CellId;
+  readonly pool: PoolId;
+  readonly upstreams: readonly UpstreamEntry[];
+  readonly owner: VmId | undefined;
+  /** Whether this VM owns the cell and has collected its grants. */
+  readonly isOwned: boolean;
+}
+
+/** What reconciliation with engines and role balancing ask the owner of cells. */
+export interface OwnerQueries {
+  /** Whether an owned cell has a grant for the attempt. */
+  isHeld(requestId: RequestId, attempt: number): boolean;
+  /** Ends the grant of an attempt whose engine no longer holds it. */
+  releaseByRef(requestId: RequestId, attempt: number, report: ReleaseReport): void;
+  /** `undefined` when this VM does not own the cell. */
+  backlogs(cell: CellId): RoleBacklogs | undefined;
+  /** The cells of this data centre. */
+  listCells(): readonly CellDescription[];
+}
+
+export interface CellScheduler extends Scheduler, OwnerQueries {
+  /** The live grant of an attempt on this node, also after `adopt`. */
+  findGrant(requestId: RequestId, attempt: number): Grant | undefined;
+}
--- /dev/null
+++ b/packages/scheduler/src/wait-estimate.ts
@@ -0,0 +1,72 @@
+/** How long a new request would wait in a cell. */
+import type { Estimates } from './estimates.js';
+import type { FairQueue, Queueable } from './fair-queue.js';
+import { canDecode, canPrefill } from './partition.js';
+import { slotLimit } from './upstream-state.js';
+import type { ColdRights, UpstreamState } from './upstream-state.js';
+import { MAX_PREFILL_BACKLOG_MS } from './choose-model.js';
+
+/** Assumed time of a plain request until the first reports arrive. */
+const DEFAULT_HOLD_MS = 100;
+
+export interface Demand extends Queueable {
+  readonly prefillMs: number;
+}
+
+export interface SlotCounts {
+  readonly free: number;
+  readonly slots: number;
+}
+
+/** Slots of the upstreams that decode or serve and are in service. */
+export function countSlots(states: readonly UpstreamState[], rights: ColdRights): SlotCounts {
+  let free = 0;
+  let slots = 0;
+  for (const state of states) {
+    const serves = state.entry.role === 'plain' || canDecode(state.entry);
+    if (state.out || !serves) continue;
+    const limit = slotLimit(state, rights);
+    slots += limit;
+    free += Math.max(0, limit - state.slots);
+  }
+  return { free, slots };
+}
+
+function prefillWaitMs(
+  states: readonly UpstreamState[],
+  aheadMs: number,
+  now: number,
+): number | undefined {
+  const engines = states.filter((state) => !state.out && canPrefill(state.entry));
+  if (engines.length === 0) return undefined;
+  const backlogMs = engines.reduce((sum, state) => sum + state.prefills.remainingMs(now), 0);
+  // What fits into the idle time that the backlog limit hides costs no wait.
+  return Math.max(0, (backlogMs + aheadMs) / engines.length - MAX_PREFILL_BACKLOG_MS);
+}
+
+/**
+ * Estimates the time until the request has its grant, from the work that the fair queue would serve
+ * before it. Returns `Infinity` when nothing that could serve it is in service.
+ */
+export function estimateWaitMs(
+  queue: FairQueue<Queueable & Demand>,
+  demand: Demand,
+  states: readonly UpstreamState[],
+  estimates: Estimates,
+  rights: ColdRights,
+  now: number,
+): number {
+  let ahead = 0;
+  let aheadMs = 0;
+  queue.visitAhead(demand, now, (entry) => {
+    ahead += 1;
+    aheadMs += entry.prefillMs;
+  });
+  const { free, slots } = countSlots(states, rights);
+  if (slots === 0) return Infinity;
+  const holdMs = estimates.holdMs() || DEFAULT_HOLD_MS;
+  const slotWaitMs = (Math.max(0, ahead + 1 - free) * holdMs) / slots;
+  const isModel = states.some((state) => state.entry.role !== 'plain');
+  const prefillMs = isModel ? prefillWaitMs(states, aheadMs, now) : 0;
+  return prefillMs === undefined ? Infinity : Math.max(slotWaitMs, prefillMs);
+}
