Check settings and tables by schema and list every fault at once

Cause: the settings parser accepted any text, fell back to defaults for misspelt keys and reported at most one fault without its place.

Change: INI is read line by line, so that repeated sections and keys, lines without a value and keys outside of a section are found. Unknown keys and sections name the nearest known one; addresses are IP:port; units are part of the key name. Values of secrets and of misspelt keys are never shown. Tables can be encoded, compared and matched against a request.

--- a/packages/settings/src/index.ts
+++ b/packages/settings/src/index.ts
@@ -1,3 +1,12 @@
+export * from './diff-tables.js';
+export { createFaultsError, formatFault, listFaults } from './faults.js';
+export type { SettingsFault } from './faults.js';
+export { formatAddress, NAME, splitAddress } from './fields.js';
+export * from './match-route.js';
+export { findNearest, suggestName } from './nearest-name.js';
 export * from './node-settings.js';
-export * from './tables.js';
+export { formatPools, parsePools } from './pools-table.js';
+export * from './recognise-file.js';
+export { formatRoutes, parseRoutes } from './routes-table.js';
+export type { RoutesOptions } from './routes-table.js';
 export * from './types.js';
--- a/packages/settings/src/node-settings.ts
+++ b/packages/settings/src/node-settings.ts
@@ -1,41 +1,169 @@
-/** Settings of a node process, from INI. */
-import { createError, dataCentreId, vmId } from '@hibiscusbank/core';
-import type { RouterError } from '@hibiscusbank/core';
+/** Settings of processes, from INI: of a node, and of an operator's tool. */
+import type { DataCentreId, RouterError, VmId } from '@hibiscusbank/core';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
-import { readSections } from './read-ini.js';
-import type { ListenAddress, NodeSettings } from './types.js';
+import { createFaultsError } from './faults.js';
+import {
+  formatAddress,
+  createIntegerField,
+  createListField,
+  createListenField,
+  createNameField,
+  allowMissing,
+  createSecretField,
+  createServiceField,
+  splitAddress,
+  addDefault,
+} from './fields.js';
+import type { Fields, Values } from './fields.js';
+import { findNearest } from './nearest-name.js';
+import { readIni } from './read-ini.js';
+import type { IniFile, IniSection } from './read-ini.js';
+import { createFaultReport, readFields, reportKey, reportSection } from './read-section.js';
+import type { FaultReport } from './read-section.js';
+import type { NodeSettings, OperatorSettings } from './types.js';
 
 const DEFAULT_MAX_BODY_BYTES = 4 * 1024 * 1024;
 const DEFAULT_DRAIN_TIMEOUT_MS = 120_000;
+/** The longest partition between regions that is expected, section 4.8 of docs/design.md. */
 const DEFAULT_UNCONFIRMED_KEYS_MS = 3_600_000;
+const MIN_SECRET_CHARS = 8;
+const MIN_BODY_BYTES = 1_024;
+const MAX_BODY_BYTES = 1024 * 1024 * 1024;
+const DAY_MS = 86_400_000;
 
-function readAddress(text: string | undefined): ListenAddress {
-  const [host = '127.0.0.1', port = '0'] = (text ?? '127.0.0.1:0').split(':');
-  return { host, port: Number(port) };
+const nodeFields = {
+  vm: createNameField<VmId>(),
+  data_centre: createNameField<DataCentreId>(),
+  region: addDefault(createNameField<string>(), 'default'),
+  listen: createListenField(),
+  peer_listen: createListenField(),
+  admin_listen: createListenField(),
+  peer_secret: createSecretField(MIN_SECRET_CHARS),
+};
+
+const platformFields = {
+  object_api: createServiceField(),
+  vm_list: createServiceField(),
+  weight_store: allowMissing(createServiceField()),
+};
+
+const operatorPlatformFields = { ...platformFields, vm_list: allowMissing(createServiceField()) };
+
+const limitFields = {
+  max_body_bytes: addDefault(
+    createIntegerField(MIN_BODY_BYTES, MAX_BODY_BYTES),
+    DEFAULT_MAX_BODY_BYTES,
+  ),
+  drain_timeout_ms: addDefault(createIntegerField(0, DAY_MS), DEFAULT_DRAIN_TIMEOUT_MS),
+  unconfirmed_keys_ms: addDefault(createIntegerField(0, DAY_MS), DEFAULT_UNCONFIRMED_KEYS_MS),
+};
+
+const parseAdmin = (item: string): string | undefined => {
+  const address = splitAddress(item);
+  return address === undefined ? undefined : formatAddress(address);
+};
+
+const operatorFields = {
+  admins: addDefault(createListField(parseAdmin, 'admin addresses of nodes as IP:port'), []),
+};
+
+const SECTION_TITLES = ['node', 'platform', 'limits', 'operator'];
+
+/** The section of a title; an empty one stands for a missing one, so that defaults apply. */
+const findSection = (ini: IniFile, title: string): IniSection =>
+  ini.sections.find((section) => section.title === title) ?? {
+    title,
+    line: 1,
+    values: new Map(),
+  };
+
+function reportUnknownSections(report: FaultReport, ini: IniFile): void {
+  for (const section of ini.sections) {
+    if (SECTION_TITLES.includes(section.title)) continue;
+    const nearest = findNearest(section.title, SECTION_TITLES) ?? '';
+    reportSection(report, section, `unknown section; the nearest known section is [${nearest}]`);
+  }
 }
 
-/** Reads the settings of a node. Errors: `invalid_settings`. */
-export function parseNodeSettings(text: string): Result<NodeSettings, RouterError> {
-  const { node, platform, limits = {} } = readSections(text);
-  if (node?.vm === undefined || node.data_centre === undefined || platform === undefined) {
-    return err(createError('invalid_settings', 'sections [node] and [platform] are required'));
+/** Listeners of one process cannot share an address. */
+function reportSharedAddresses(report: FaultReport, section: IniSection): void {
+  const owners = new Map<string, string>();
+  for (const key of ['listen', 'peer_listen', 'admin_listen']) {
+    const address = section.values.get(key)?.text;
+    if (address === undefined) continue;
+    const owner = owners.get(address);
+    if (owner === undefined) owners.set(address, key);
+    else reportKey(report, section, key, `must differ from ${owner}; choose another port`);
   }
+}
+
+function readNode(report: FaultReport, ini: IniFile): Values<typeof nodeFields> | undefined {
+  const section = findSection(ini, 'node');
+  reportSharedAddresses(report, section);
+  return readFields(report, section, nodeFields);
+}
+
+const readTitled = <F extends Fields>(
+  report: FaultReport,
+  ini: IniFile,
+  title: string,
+  fields: F,
+): Values<F> | undefined => readFields(report, findSection(ini, title), fields);
+
+/** Reads the settings of a node. Errors: `invalid_settings`, which lists all faults. */
+export function parseNodeSettings(
+  text: string,
+  file = 'settings',
+): Result<NodeSettings, RouterError> {
+  const ini = readIni(text, file);
+  const report = createFaultReport(ini);
+  reportUnknownSections(report, ini);
+  const node = readNode(report, ini);
+  const platform = readTitled(report, ini, 'platform', platformFields);
+  const limits = readTitled(report, ini, 'limits', limitFields);
+  readTitled(report, ini, 'operator', operatorFields);
+  if (report.faults.length > 0) return err(createFaultsError(report.faults));
   return ok({
-    vm: vmId(node.vm),
-    dataCentre: dataCentreId(node.data_centre),
-    region: node.region ?? 'default',
-    listen: readAddress(node.listen),
-    peerListen: readAddress(node.peer_listen),
-    adminListen: readAddress(node.admin_listen),
-    peerSecret: node.peer_secret ?? '',
-    objectApi: platform.object_api ?? '',
-    vmList: platform.vm_list ?? '',
-    weightStore: platform.weight_store,
+    vm: node!.vm,
+    dataCentre: node!.data_centre,
+    region: node!.region,
+    listen: node!.listen,
+    peerListen: node!.peer_listen,
+    adminListen: node!.admin_listen,
+    peerSecret: node!.peer_secret,
+    objectApi: platform!.object_api,
+    vmList: platform!.vm_list,
+    weightStore: platform!.weight_store,
     limits: {
-      maxBodyBytes: Number(limits.max_body_bytes ?? DEFAULT_MAX_BODY_BYTES),
-      drainTimeoutMs: Number(limits.drain_timeout_ms ?? DEFAULT_DRAIN_TIMEOUT_MS),
-      unconfirmedKeysMs: Number(limits.unconfirmed_keys_ms ?? DEFAULT_UNCONFIRMED_KEYS_MS),
+      maxBodyBytes: limits!.max_body_bytes,
+      drainTimeoutMs: limits!.drain_timeout_ms,
+      unconfirmedKeysMs: limits!.unconfirmed_keys_ms,
     },
   });
 }
+
+/**
+ * Reads where an operator's tool finds the platform and the nodes. A node's settings serve as well:
+ * its own admin address comes first. Errors: `invalid_settings`.
+ */
+export function parseOperatorSettings(
+  text: string,
+  file = 'settings',
+): Result<OperatorSettings, RouterError> {
+  const ini = readIni(text, file);
+  const report = createFaultReport(ini);
+  reportUnknownSections(report, ini);
+  const hasNode = ini.sections.some(({ title }) => title === 'node');
+  const node = hasNode ? readNode(report, ini) : undefined;
+  const platform = readTitled(report, ini, 'platform', operatorPlatformFields);
+  const operator = readTitled(report, ini, 'operator', operatorFields);
+  readTitled(report, ini, 'limits', limitFields);
+  if (report.faults.length > 0) return err(createFaultsError(report.faults));
+  const own = node === undefined ? [] : [formatAddress(node.admin_listen)];
+  return ok({
+    objectApi: platform!.object_api,
+    vmList: platform!.vm_list,
+    admins: [...new Set([...own, ...operator!.admins])],
+  });
+}
--- a/packages/settings/src/types.ts
+++ b/packages/settings/src/types.ts
@@ -42,6 +42,15 @@
   readonly unconfirmedKeysMs: number;
 }
 
+/** Where an operator's tool finds the platform and the nodes. */
+export interface OperatorSettings {
+  /** Base URLs of the platform's services. */
+  readonly objectApi: string;
+  readonly vmList: string | undefined;
+  /** Admin addresses of nodes, as `IP:port`. */
+  readonly admins: readonly string[];
+}
+
 export type Urgency = 'urgent' | 'patient';
 
 /** Who may use a route. */
