Add the operators' commands and a daemon that names its faults

Cause: the command could only start a node, printed nothing without ROARR_LOG=true, and configuration could be changed only by calls to the object API by hand.

Change: check, get, apply, org, key, dc, vm, upstream, status and explain are functions of arguments, ports and output. Exit codes tell usage, conflict and outage apart. The daemon logs by default, names the listener whose address is taken, drains on the first signal and stops on the second.

--- /dev/null
+++ b/packages/cli/src/admin-client.ts
@@ -0,0 +1,50 @@
+/** Calls to the admin addresses of nodes. */
+import { createError, toError } from '@hibiscusbank/core';
+import type { RouterError } from '@hibiscusbank/core';
+import { ResultAsync } from 'neverthrow';
+import { request } from 'undici';
+
+const CALL_TIMEOUT_MS = 2_000;
+const STATUS_NOT_FOUND = 404;
+
+/** Errors: `peer_unavailable` without an answer, `not_found` for an unknown path or name. */
+export interface AdminPort {
+  /** `IP:port`. */
+  readonly address: string;
+  get(path: string): ResultAsync<unknown, RouterError>;
+  post(path: string, body: unknown): ResultAsync<unknown, RouterError>;
+}
+
+async function send(url: string, method: 'GET' | 'POST', body: unknown): Promise<unknown> {
+  const res = await request(url, {
+    method,
+    headers: { 'content-type': 'application/json' },
+    body: body === undefined ? null : JSON.stringify(body),
+    signal: AbortSignal.timeout(CALL_TIMEOUT_MS),
+  });
+  const text = await res.body.text();
+  if (res.statusCode === STATUS_NOT_FOUND) {
+    throw createError('not_found', `${url} answers 404; the node does not know this call or name`);
+  }
+  if (res.statusCode >= 400) throw new Error(`status ${res.statusCode}: ${text}`);
+  return text === '' ? undefined : JSON.parse(text);
+}
+
+/** Creates the client of one node. */
+export function createHttpAdmin(address: string): AdminPort {
+  const call = (method: 'GET' | 'POST', path: string, body?: unknown) =>
+    ResultAsync.fromPromise(send(`http://${address}${path}`, method, body), (thrown) => {
+      const cause = toError(thrown);
+      if ('kind' in cause) return cause as RouterError;
+      return createError(
+        'peer_unavailable',
+        `no answer from the node at ${address}; check the admin address and the process`,
+        { cause },
+      );
+    });
+  return {
+    address,
+    get: (path) => call('GET', path),
+    post: (path, body) => call('POST', path, body),
+  };
+}
--- /dev/null
+++ b/packages/cli/src/get-command.ts
@@ -0,0 +1,24 @@
+/** `hibiscusbank get`: prints a table as INI. */
+import { formatPools, formatRoutes } from '@hibiscusbank/settings';
+import { readConfiguration } from './configuration-reader.js';
+import { present } from './output.js';
+import type { Output } from './output.js';
+import type { CliPorts } from './ports.js';
+
+export type TableName = 'routes' | 'pools';
+
+/** Prints the table with the revision that `apply --if-revision` takes. */
+export async function getTable(
+  table: TableName,
+  ports: Pick<CliPorts, 'objectApi'>,
+  output: Output,
+): Promise<void> {
+  const stored = await readConfiguration(ports.objectApi);
+  const pools = stored.pools.map(({ value }) => value);
+  const entries = table === 'routes' ? stored.routes.value : pools;
+  const text = table === 'routes' ? formatRoutes(stored.routes.value) : formatPools(pools);
+  present(output, { revision: stored.revision, [table]: entries }, [
+    `; ${table} at revision ${stored.revision}`,
+    text.trimEnd(),
+  ]);
+}
--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -1,1 +1,2 @@
-export {};
+export * from './app.js';
+export * from './exit-codes.js';
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -1,12 +1,20 @@
 #!/usr/bin/env node
 /** Entry point of the `hibiscusbank` command. */
-import { run, subcommands } from 'cmd-ts';
-import { nodeCommand } from './node-command.js';
-import { standinCommand } from './standin-command.js';
+// roarr reads ROARR_LOG when it is loaded, so this import stays first.
+import './enable-logging.js';
+import { runApp } from './app.js';
+import { createPorts } from './ports.js';
 
-const app = subcommands({
-  name: 'hibiscusbank',
-  cmds: { node: nodeCommand, standin: standinCommand },
+const [, , ...argv] = process.argv;
+
+const exitCode = await runApp(argv, {
+  print: (line) => process.stdout.write(`${line}\n`),
+  printError: (line) => process.stderr.write(`${line}\n`),
+  createPorts: (args) => createPorts(args, process.env),
 });
 
-await run(app, process.argv.slice(2));
+if (exitCode !== undefined) {
+  process.exitCode = exitCode;
+  // Connections that are kept alive do not hold the daemon after its end.
+  if (argv[0] === 'node') process.exit();
+}
--- /dev/null
+++ b/packages/cli/src/tenant-commands.ts
@@ -0,0 +1,85 @@
+/** Command line of `org` and `key`. */
+import { command, number, option, optional, positional, string, subcommands } from 'cmd-ts';
+import { createHttpAdmin } from './admin-client.js';
+import type { CommandRunner } from './command-runner.js';
+import { platformOptions } from './common-options.js';
+import { issueKey, listKeys, withdrawKey } from './key-commands.js';
+import { listOrganisations, removeOrganisation, setOrganisation } from './organisation-commands.js';
+
+const name = positional({ type: string, displayName: 'NAME' });
+
+/** Creates the `org` commands. */
+export function createOrganisationCommands({ runOnPlatform }: CommandRunner) {
+  return subcommands({
+    name: 'org',
+    description: 'Rates and bursts of organisations.',
+    cmds: {
+      set: command({
+        name: 'set',
+        description: 'Create an organisation or change its rate and burst.',
+        args: {
+          ...platformOptions,
+          name,
+          rate: option({ type: number, long: 'rate', description: 'tokens per second' }),
+          burst: option({ type: number, long: 'burst', description: 'tokens at once' }),
+        },
+        handler: (args) =>
+          runOnPlatform(args, (ports, output) => setOrganisation(args, ports, output)),
+      }),
+      list: command({
+        name: 'list',
+        description: 'List organisations.',
+        args: platformOptions,
+        handler: (args) => runOnPlatform(args, (ports, output) => listOrganisations(ports, output)),
+      }),
+      remove: command({
+        name: 'remove',
+        description: 'Remove an organisation without keys and routes.',
+        args: { ...platformOptions, name },
+        handler: (args) =>
+          runOnPlatform(args, (ports, output) => removeOrganisation(args.name, ports, output)),
+      }),
+    },
+  });
+}
+
+/** Creates the `key` commands. */
+export function createKeyCommands({ runOnPlatform }: CommandRunner) {
+  return subcommands({
+    name: 'key',
+    description: 'Tenant keys of organisations.',
+    cmds: {
+      issue: command({
+        name: 'issue',
+        description: 'Issue a key and print it once.',
+        args: { ...platformOptions, org: option({ type: string, long: 'org' }) },
+        handler: (args) =>
+          runOnPlatform(args, (ports, output) => issueKey(args.org, ports, output)),
+      }),
+      withdraw: command({
+        name: 'withdraw',
+        description: 'Withdraw a key.',
+        args: {
+          ...platformOptions,
+          key: positional({ type: string, displayName: 'DIGEST-OR-HINT-OR-KEY' }),
+          via: option({
+            type: optional(string),
+            long: 'via',
+            description: 'admin address of a node; works without the platform',
+          }),
+        },
+        handler: (args) =>
+          runOnPlatform(args, (ports, output) => {
+            const via = args.via === undefined ? undefined : createHttpAdmin(args.via);
+            return withdrawKey({ key: args.key, via }, ports, output);
+          }),
+      }),
+      list: command({
+        name: 'list',
+        description: 'List keys by digest and hint.',
+        args: platformOptions,
+        handler: (args) => runOnPlatform(args, (ports, output) => listKeys(ports, output)),
+      }),
+    },
+  });
+}
