--- a/packages/gateway/src/resume-stream.ts
+++ b/packages/gateway/src/resume-stream.ts
@@ -66,8 +66,11 @@
     lastIndex: -1,
     signal: guard.signal,
     onOwner: (owner) => {
-      attempt = owner.attempt;
-      if (owner.organisation === req.organisation) return undefined;
+      if (owner.organisation === req.organisation) {
+        attempt = owner.attempt;
+        void options.scheduler.adopt(position.requestId, attempt, engine.id);
+        return undefined;
+      }
       return createError('forbidden', 'the stream belongs to another organisation', {
         effect: 'not_run',
       });
@@ -102,11 +105,11 @@
     'the stream is no longer kept; send the request again without Last-Event-ID',
   );
   if (engine === undefined) return err({ error: gone, effect: 'unknown' });
-  const grant = await options.scheduler.adopt(position.requestId, engine.id);
   const { attempt, result } = await readStream(context, position, engine);
-  if (result.isErr()) {
+  if (result.isErr() && result.error.kind !== 'forbidden') {
     void options.engines.cancel(engine.address, { requestId: position.requestId, attempt });
   }
+  const grant = options.scheduler.findGrant(position.requestId, attempt);
   if (grant !== undefined) {
     const outcome = result.isOk() ? 'completed' : toGrantOutcome(result.error, req.signal);
     options.scheduler.release(grant, { outcome, upstream: engine.id });
--- a/packages/gateway/test/resume.test.ts
+++ b/packages/gateway/test/resume.test.ts
@@ -80,6 +80,8 @@
   await bench.serve();
   expect(bench.writer.text()).toBe('');
   expect(bench.writer.failures[0]?.error.kind).toBe('forbidden');
+  // Cancelling would let one organisation stop the streams of another.
+  expect(bench.cancelled).toEqual([]);
 });
 
 test('a resumed stream continues on another engine when its engine dies', async () => {
--- a/packages/gateway/test/support/fakes.ts
+++ b/packages/gateway/test/support/fakes.ts
@@ -100,7 +100,8 @@
     release: (grant, report) => {
       released.push({ grant, report });
     },
-    adopt: async () => undefined,
+    adopt: async () => {},
+    findGrant: () => undefined,
     ownedCells: () => [],
     explain: () => [],
     start: async () => {},
--- a/packages/scheduler/src/types.ts
+++ b/packages/scheduler/src/types.ts
@@ -112,8 +112,10 @@
   finishPrefill(grant: Grant, report: ReleaseReport): void;
   /** Ends a grant; retried until the owner has it. */
   release(grant: Grant, report: ReleaseReport): void;
-  /** Takes over the grant of a stream that another node began; `undefined` when it is gone. */
-  adopt(requestId: RequestId, upstream: UpstreamId): Promise<Grant | undefined>;
+  /** Takes over the grant of a stream that another node began. */
+  adopt(requestId: RequestId, attempt: number, upstream: UpstreamId): Promise<void>;
+  /** The live grant of an attempt on this node, also after `adopt`. */
+  findGrant(requestId: RequestId, attempt: number): Grant | undefined;
   /** Cells that this node owns. */
   ownedCells(): readonly CellSummary[];
   /** Describes the cells and owners that a request for a pool may go to. */
@@ -151,7 +153,5 @@
   listCells(): readonly CellDescription[];
 }
 
-export interface CellScheduler extends Scheduler, OwnerQueries {
-  /** The live grant of an attempt on this node, also after `adopt`. */
-  findGrant(requestId: RequestId, attempt: number): Grant | undefined;
-}
+/** A node's scheduler: owner of its cells and client of all others. */
+export interface CellScheduler extends Scheduler, OwnerQueries {}
