Add leases on the object API and writes resolved by read-back

Cold starts and model orders need one holder per cell, and a response of the object API can be lost after the call took effect. createLease holds a key for 15 s, renews every 5 s and stops 3 s before expiry by its own clock; the epoch is the version of the acquiring write and stays the same over renewals. putResolved recognises its own conditional write by the write id.

--- a/packages/core/src/events.ts
+++ b/packages/core/src/events.ts
@@ -35,6 +35,13 @@
 
   debitGranted: define(1301, 'debug', 'tokens debited'),
   debitRefused: define(1302, 'info', 'tokens refused'),
+  ringChanged: define(1303, 'info', 'quota ring changed'),
+  ringChangeFailed: define(1304, 'warn', 'quota ring change failed'),
+  shareAdopted: define(1305, 'info', 'quota shares adopted'),
+  adoptionPending: define(1306, 'info', 'quota adoption waits for members'),
+  spendingStopped: define(1307, 'warn', 'spending stopped in isolation'),
+  spendingResumed: define(1308, 'info', 'spending resumed'),
+  tokensBorrowed: define(1309, 'debug', 'tokens borrowed'),
 
   placementGranted: define(1401, 'info', 'placement granted'),
   placementRefused: define(1402, 'info', 'placement refused'),
@@ -46,6 +53,11 @@
   attemptFailed: define(1504, 'warn', 'attempt failed'),
   streamResumed: define(1505, 'info', 'stream resumed'),
 
+  leaseAcquired: define(1601, 'info', 'lease acquired'),
+  leaseLost: define(1602, 'warn', 'lease lost'),
+  leaseReleased: define(1603, 'info', 'lease released'),
+  leaseCallFailed: define(1604, 'warn', 'read or write of a lease failed'),
+
   invariantViolated: define(1901, 'error', 'invariant violated'),
 } as const satisfies Record<string, EventDefinition>;
 
--- /dev/null
+++ b/packages/platform/test/lease.test.ts
@@ -0,0 +1,119 @@
+import { unwrap } from '@hibiscusbank/core';
+import { createLease, putResolved } from '@hibiscusbank/platform';
+import { afterEach, beforeEach, expect, test, vi } from 'vitest';
+import { createFakeObjectApi, createStore, createTestTelemetry } from './support.js';
+
+const KEY = 'leases/cell-1';
+
+beforeEach(() => {
+  vi.useFakeTimers();
+});
+afterEach(() => {
+  vi.clearAllTimers();
+  vi.useRealTimers();
+});
+
+function createHolder(store: ReturnType<typeof createStore>, holder: string) {
+  const { api, faults } = createFakeObjectApi(store);
+  const lease = createLease({
+    objectApi: api,
+    key: KEY,
+    holder,
+    telemetry: createTestTelemetry(),
+  });
+  return { lease, faults };
+}
+
+test('the epoch stays the same over renewals and rises with the next holder', async () => {
+  const store = createStore();
+  const first = createHolder(store, 'a');
+  const second = createHolder(store, 'b');
+  first.lease.acquire();
+  await vi.advanceTimersByTimeAsync(0);
+  const epoch = first.lease.epochIfHeld();
+  second.lease.acquire();
+  await vi.advanceTimersByTimeAsync(60_000);
+  expect(first.lease.epochIfHeld()).toBe(epoch);
+  expect(second.lease.epochIfHeld()).toBeUndefined();
+  await first.lease.release();
+  expect(first.lease.epochIfHeld()).toBeUndefined();
+  await vi.advanceTimersByTimeAsync(1_000);
+  expect(second.lease.epochIfHeld()).toBeGreaterThan(epoch ?? Infinity);
+});
+
+test('a holder cut off from the platform stops before another takes over', async () => {
+  const store = createStore();
+  const first = createHolder(store, 'a');
+  const second = createHolder(store, 'b');
+  first.lease.acquire();
+  second.lease.acquire();
+  await vi.advanceTimersByTimeAsync(20_000);
+  first.faults.down = true;
+  for (let i = 0; i < 400; i += 1) {
+    await vi.advanceTimersByTimeAsync(100);
+    const holders = [first, second].filter(({ lease }) => lease.epochIfHeld() !== undefined);
+    expect(holders.length).toBeLessThanOrEqual(1);
+  }
+  expect(second.lease.epochIfHeld()).toBeDefined();
+});
+
+test('a holder that was paused finds the lease lost on waking', async () => {
+  const store = createStore();
+  const { lease } = createHolder(store, 'a');
+  lease.acquire();
+  await vi.advanceTimersByTimeAsync(0);
+  vi.spyOn(performance, 'now').mockReturnValue(performance.now() + 13_000);
+  expect(lease.epochIfHeld()).toBeUndefined();
+  vi.restoreAllMocks();
+});
+
+test('a lost response to acquire and to renew is resolved by reading back', async () => {
+  const store = createStore();
+  const { lease, faults } = createHolder(store, 'a');
+  faults.loseResponses = 1;
+  lease.acquire();
+  await vi.advanceTimersByTimeAsync(1_000);
+  const epoch = lease.epochIfHeld();
+  expect(epoch).toBeDefined();
+  faults.loseResponses = 1;
+  await vi.advanceTimersByTimeAsync(14_000);
+  expect(lease.epochIfHeld()).toBe(epoch);
+});
+
+test('an acquisition that takes effect late counts from when it was sent', async () => {
+  const store = createStore();
+  const { lease, faults } = createHolder(store, 'a');
+  faults.intercept = (apply) => {
+    faults.writesDown = true;
+    setTimeout(apply, 12_500);
+  };
+  lease.acquire();
+  await vi.advanceTimersByTimeAsync(14_000);
+  expect(store.objects.has(KEY)).toBe(true);
+  expect(lease.epochIfHeld()).toBeUndefined();
+});
+
+test('a renewal in flight does not revive a released lease', async () => {
+  const store = createStore();
+  const { lease, faults } = createHolder(store, 'a');
+  lease.acquire();
+  await vi.advanceTimersByTimeAsync(4_999);
+  faults.responseDelayMs = 100;
+  await vi.advanceTimersByTimeAsync(1);
+  const released = lease.release();
+  await vi.advanceTimersByTimeAsync(1_000);
+  await released;
+  expect(lease.epochIfHeld()).toBeUndefined();
+});
+
+test('a write whose response was lost is recognised, and a write of another is a conflict', async () => {
+  const store = createStore();
+  const { api, faults } = createFakeObjectApi(store);
+  faults.loseResponses = 1;
+  const first = await putResolved(api, 'k', 1, { ifAbsent: true, writeId: 'w1' });
+  expect(unwrap(first).writeId).toBe('w1');
+  const second = await putResolved(api, 'k', 2, { ifAbsent: true, writeId: 'w2' });
+  expect(second.isErr() && second.error.kind).toBe('conflict');
+  const again = await putResolved(api, 'k', 1, { ifAbsent: true, writeId: 'w1' });
+  expect(again.isOk()).toBe(true);
+});
