--- a/packages/quota/src/local-quota.ts
+++ b/packages/quota/src/local-quota.ts
@@ -41,7 +41,7 @@
         );
       }
       bucket.tokens -= tokens;
-      return okAsync({ organisation, requestId, holder: self, tokens });
+      return okAsync({ organisation, requestId, holder: self, tokens, id: requestId });
     },
     refund: (charge, tokens) => {
       const limits = configuration.organisation(charge.organisation);
--- /dev/null
+++ b/packages/quota/src/recent-ids.ts
@@ -0,0 +1,21 @@
+/** Remembers the ids of recent messages, so that a repeat has no effect. */
+
+const MAX_IDS = 20_000;
+
+export interface RecentIds {
+  has(id: string): boolean;
+  add(id: string): void;
+}
+
+/** Creates an empty memory that forgets the oldest id first. */
+export function createRecentIds(): RecentIds {
+  const ids = new Set<string>();
+  return {
+    has: (id) => ids.has(id),
+    add: (id) => {
+      ids.add(id);
+      const [oldest] = ids;
+      if (ids.size > MAX_IDS && oldest !== undefined) ids.delete(oldest);
+    },
+  };
+}
--- a/packages/quota/src/types.ts
+++ b/packages/quota/src/types.ts
@@ -17,6 +17,8 @@
   readonly requestId: RequestId;
   readonly holder: VmId;
   readonly tokens: number;
+  /** Names the charge at its holder. */
+  readonly id: string;
 }
 
 /** Balance of an organisation on this node, for `status`. */
@@ -27,7 +29,11 @@
 }
 
 export interface Quota {
-  /** Errors: `rate_exceeded` with `retryAfterMs`, `not_found` for an unknown organisation. */
+  /**
+   * Errors: `rate_exceeded` with `retryAfterMs`, `not_found` for an unknown organisation,
+   * `invalid_request` for more tokens than the burst, `not_ready` when no holder can be asked,
+   * `cancelled`.
+   */
   debit(req: DebitRequest): ResultAsync<Charge, RouterError>;
   /** Gives back the unused part of a charge. Never fails; lost refunds are lost tokens. */
   refund(charge: Charge, tokens: number): void;
--- /dev/null
+++ b/packages/quota/test/support.ts
@@ -0,0 +1,375 @@
+/** A small fleet in one process: nodes with fake network, membership, configuration and store. */
+import {
+  createError,
+  createRandom,
+  dataCentreId,
+  monotonicMs,
+  organisationId,
+  requestId,
+  toRouterError,
+  vmId,
+} from '@hibiscusbank/core';
+import type { DataCentreId, Random, RouterError, VmId } from '@hibiscusbank/core';
+import type {
+  ConfigurationEntry,
+  ConfigurationReplica,
+  Organisation,
+} from '@hibiscusbank/configuration';
+import type { Membership, PeerHandler, PeerNetwork } from '@hibiscusbank/peers';
+import { createEscrowQuota } from '@hibiscusbank/quota';
+import type { Charge, Quota } from '@hibiscusbank/quota';
+import { ResultAsync } from 'neverthrow';
+import { vi } from 'vitest';
+import {
+  createFakeObjectApi,
+  createStore,
+  createTestTelemetry,
+} from '../../platform/test/support.js';
+
+export const ORG = organisationId('org');
+
+export interface TestNode {
+  readonly vm: VmId;
+  readonly dataCentre: DataCentreId;
+  alive: boolean;
+  paused: boolean;
+  lastContact: number;
+  readonly quota: Quota;
+  readonly handlers: Map<string, PeerHandler>;
+  readonly entries: Map<string, ConfigurationEntry>;
+  readonly applyEntry: (entry: ConfigurationEntry) => void;
+  readonly faults: ReturnType<typeof createFakeObjectApi>['faults'];
+  readonly telemetry: ReturnType<typeof createTestTelemetry>;
+}
+
+export interface FleetOptions {
+  readonly vms: Readonly<Record<string, readonly string[]>>;
+  readonly ratePerS: number;
+  readonly burst: number;
+  readonly seed?: number;
+  readonly dataCentres?: readonly string[];
+}
+
+/** One admitted request; `used` is what it really took. */
+export interface Admission {
+  readonly at: number;
+  readonly charged: number;
+  used: number;
+}
+
+const DELAY_MS = 2;
+
+export type Fleet = ReturnType<typeof createFleet>;
+
+export function createFleet(options: FleetOptions) {
+  const random: Random = createRandom(options.seed ?? 1);
+  const store = createStore();
+  const nodes = new Map<VmId, TestNode>();
+  const all: TestNode[] = [];
+  const listed = new Set<VmId>();
+  const severed = new Set<string>();
+  const admissions: Admission[] = [];
+  const refunds: { at: number; tokens: number }[] = [];
+  const net = {
+    loseReplies: 0,
+    duplicates: 0,
+    slowReplies: 0,
+    onCall: undefined as ((method: string, from: VmId, to: VmId) => void) | undefined,
+    loseNextReplyTo: undefined as string | undefined,
+  };
+  const platform = { down: false, cutOff: new Set<VmId>() };
+  let requests = 0;
+
+  const isLinked = (a: VmId, b: VmId): boolean =>
+    a === b || (!severed.has(`${a} ${b}`) && !severed.has(`${b} ${a}`));
+
+  const write = (key: string, value: unknown): void => {
+    store.revision += 1;
+    store.objects.set(key, { key, value, version: store.revision, writeId: '' });
+  };
+
+  const setLimits = (ratePerS: number, burst: number): void =>
+    write(`config/organisations/${ORG}`, { id: ORG, ratePerS, burst });
+  const setDataCentres = (names: readonly string[]): void => write('config/pools/names', names);
+
+  const pass = async (ms: number): Promise<void> => {
+    await new Promise((resolve) => {
+      setTimeout(resolve, ms);
+    });
+  };
+  const awake = async (node: TestNode): Promise<void> => {
+    while (node.paused) await pass(100);
+    if (!node.alive) await new Promise(() => {});
+  };
+
+  const deliver = async (node: TestNode, to: VmId, method: string, params: unknown) => {
+    const copy = JSON.parse(JSON.stringify(params)) as unknown;
+    await awake(node);
+    await pass(node.vm === to ? 0 : DELAY_MS);
+    const target = nodes.get(to);
+    if (!isLinked(node.vm, to)) await new Promise(() => {});
+    if (target?.alive !== true) throw createError('peer_unavailable', `${to} is down`);
+    await awake(target);
+    net.onCall?.(method, node.vm, to);
+    const handler = target.handlers.get(method);
+    if (handler === undefined) throw createError('internal', `no handler for ${method}`);
+    const from = { vm: node.vm, dataCentre: node.dataCentre };
+    if (random.next() < net.duplicates) void handler(copy, from).catch(() => {});
+    const result = (await handler(copy, from)) ?? null;
+    await awake(target);
+    if (net.loseNextReplyTo === method) {
+      net.loseNextReplyTo = undefined;
+      await new Promise(() => {});
+    }
+    if (node.vm !== to && random.next() < net.loseReplies) await new Promise(() => {});
+    await pass(node.vm === to ? 0 : DELAY_MS);
+    if (random.next() < net.slowReplies) await pass(random.below(1_500));
+    if (!isLinked(node.vm, to)) await new Promise(() => {});
+    return JSON.parse(JSON.stringify(result)) as unknown;
+  };
+
+  const callFrom = <T>(
+    getNode: () => TestNode,
+    to: VmId,
+    method: string,
+    params: unknown,
+    timeoutMs: number,
+  ): ResultAsync<T, RouterError> => {
+    const send = async (): Promise<T> => {
+      const expiry = pass(timeoutMs).then(() => {
+        throw createError('timeout', `${method} to ${to}`);
+      });
+      try {
+        return (await Promise.race([deliver(getNode(), to, method, params), expiry])) as T;
+      } finally {
+        await awake(getNode());
+      }
+    };
+    return ResultAsync.fromPromise(send(), (thrown) => toRouterError(thrown));
+  };
+
+  const createReplica = (entries: Map<string, ConfigurationEntry>) => {
+    const listeners = new Set<(entry: ConfigurationEntry) => void>();
+    const read = (key: string) => entries.get(key)?.value;
+    const replica = {
+      revision: () => Math.max(0, ...[...entries.values()].map((entry) => entry.revision)),
+      isReady: () => entries.size > 0,
+      organisation: (id: string) => read(`config/organisations/${id}`) as Organisation | undefined,
+      organisations: () =>
+        [...entries.values()]
+          .filter((entry) => entry.key.startsWith('config/organisations/'))
+          .map((entry) => entry.value as Organisation),
+      ring: () => undefined,
+      dataCentres: () => (read('config/pools/names') ?? []) as readonly DataCentreId[],
+      onChange: (listener: (entry: ConfigurationEntry) => void) => {
+        listeners.add(listener);
+        return () => listeners.delete(listener);
+      },
+    } as unknown as ConfigurationReplica;
+    const applyEntry = (entry: ConfigurationEntry): void => {
+      if ((entries.get(entry.key)?.revision ?? 0) >= entry.revision) return;
+      entries.set(entry.key, entry);
+      listeners.forEach((listener) => listener(entry));
+    };
+    return { replica, applyEntry };
+  };
+
+  const startNode = (name: string): TestNode => {
+    const dc = Object.entries(options.vms).find(([, vms]) => vms.includes(name))?.[0] ?? '';
+    const self = { vm: vmId(name), dataCentre: dataCentreId(dc) };
+    const handlers = new Map<string, PeerHandler>();
+    const entries = new Map<string, ConfigurationEntry>();
+    const { replica, applyEntry } = createReplica(entries);
+    const { api, faults } = createFakeObjectApi(store);
+    const telemetry = createTestTelemetry();
+    const ref: { node?: TestNode } = {};
+    const getNode = (): TestNode => {
+      if (ref.node === undefined) throw new Error('not started');
+      return ref.node;
+    };
+    const network = {
+      self,
+      handle: (method: string, handler: PeerHandler) => handlers.set(method, handler),
+      call: (to: VmId, method: string, params: unknown, { timeoutMs }: { timeoutMs: number }) =>
+        callFrom(getNode, to, method, params, timeoutMs),
+    } as unknown as PeerNetwork;
+    const membership = {
+      self,
+      listLive: (dataCentre: DataCentreId) =>
+        [...nodes.values()]
+          .filter((node) => node.dataCentre === dataCentre && node.alive && !node.paused)
+          .filter((node) => isLinked(self.vm, node.vm) && listed.has(node.vm))
+          .map((node) => node.vm)
+          .sort(),
+      listedVms: () => [...listed],
+      lastContactMs: () => ref.node?.lastContact ?? monotonicMs(),
+    } as unknown as Membership;
+    const quota = createEscrowQuota({
+      network,
+      membership,
+      configuration: replica,
+      objectApi: api,
+      telemetry,
+    });
+    const node: TestNode = {
+      ...self,
+      alive: true,
+      paused: false,
+      lastContact: monotonicMs(),
+      quota,
+      handlers,
+      entries,
+      applyEntry,
+      faults,
+      telemetry,
+    };
+    ref.node = node;
+    nodes.set(self.vm, node);
+    all.push(node);
+    listed.add(self.vm);
+    void quota.start();
+    return node;
+  };
+
+  const reachesPlatform = (node: TestNode): boolean =>
+    !platform.down && !platform.cutOff.has(node.vm);
+
+  /** Contact, configuration and platform access of every node, as the network allows. */
+  const tick = (): void => {
+    for (const node of nodes.values()) {
+      node.faults.down = !reachesPlatform(node) || node.paused;
+      if (!node.alive || node.paused) continue;
+      const peers = [...nodes.values()].filter(
+        (peer) => peer !== node && peer.alive && !peer.paused && isLinked(node.vm, peer.vm),
+      );
+      if (reachesPlatform(node) || peers.length > 0) node.lastContact = monotonicMs();
+      for (const peer of peers) peer.entries.forEach(node.applyEntry);
+      if (!reachesPlatform(node)) continue;
+      for (const object of store.objects.values()) {
+        const { key, value, version: revision } = object;
+        node.applyEntry({ key, value, revision, deleted: false });
+      }
+    }
+  };
+
+  const run = async (ms: number): Promise<void> => {
+    for (let passed = 0; passed < ms; passed += 250) {
+      tick();
+      await vi.advanceTimersByTimeAsync(Math.min(250, ms - passed));
+    }
+  };
+
+  const get = (name: string): TestNode => {
+    const node = nodes.get(vmId(name));
+    if (node === undefined) throw new Error(`no node ${name}`);
+    return node;
+  };
+
+  const debit = async (name: string, tokens: number, waitMs = 2_000) => {
+    const node = get(name);
+    requests += 1;
+    const result = await node.quota.debit({
+      organisation: ORG,
+      requestId: requestId(`r${requests}`),
+      tokens,
+      waitMs,
+    });
+    const admission = { at: monotonicMs(), charged: tokens, used: tokens };
+    if (result.isOk()) admissions.push(admission);
+    return { result, admission };
+  };
+
+  const refund = (name: string, charge: Charge, admission: Admission, tokens: number): void => {
+    admission.used -= tokens;
+    refunds.push({ at: monotonicMs(), tokens });
+    get(name).quota.refund(charge, tokens);
+  };
+
+  const kill = (name: string): void => {
+    const node = get(name);
+    node.alive = false;
+    void node.quota.stop();
+  };
+
+  /** Offers a debit every 50 ms; resolves to the tokens granted meanwhile. */
+  const offer = async (names: readonly string[], tokens: number, count: number) => {
+    let granted = 0;
+    const submit = async (name: string): Promise<void> => {
+      const { result } = await debit(name, tokens);
+      if (result.isOk()) granted += tokens;
+    };
+    for (let i = 0; i < count; i += 1) {
+      void submit(names[i % names.length] ?? '');
+      await run(50);
+    }
+    return granted;
+  };
+
+  const sever = (a: string, b: string): void => {
+    if (a !== b) severed.add(`${a} ${b}`);
+  };
+
+  const allNames = Object.values(options.vms).flat();
+  setLimits(options.ratePerS, options.burst);
+  setDataCentres(options.dataCentres ?? Object.keys(options.vms));
+
+  return {
+    admissions,
+    refunds,
+    store,
+    net,
+    platform,
+    listed,
+    nodes,
+    names: allNames,
+    random,
+    startNode,
+    startAll: async () => {
+      allNames.forEach(startNode);
+      await run(20_000);
+    },
+    run,
+    get,
+    debit,
+    offer,
+    refund,
+    kill,
+    sever,
+    isolate: (name: string) => {
+      allNames.forEach((other) => sever(name, other));
+      platform.cutOff.add(vmId(name));
+    },
+    heal: () => {
+      severed.clear();
+      platform.cutOff.clear();
+    },
+    setLimits,
+    setDataCentres,
+    violations: () => all.flatMap((node) => node.telemetry.invariants.violations()),
+    totalBalance: () =>
+      [...nodes.values()]
+        .filter((node) => node.alive)
+        .flatMap((node) => node.quota.balances())
+        .reduce((sum, balance) => sum + balance.tokens, 0),
+    stop: async () => {
+      await Promise.all(all.map((node) => node.quota.stop()));
+    },
+  };
+}
+
+/** Largest sum over any window beyond `ratePerS` x time; it must not exceed the burst. */
+export function findLargestExcess(
+  events: readonly { readonly at: number; readonly tokens: number }[],
+  ratePerS: number,
+): number {
+  let excess = 0;
+  let largest = 0;
+  let last = 0;
+  for (const event of [...events].sort((a, b) => a.at - b.at)) {
+    excess = Math.max(0, excess - ((event.at - last) / 1_000) * ratePerS);
+    excess = Math.max(0, excess + event.tokens);
+    largest = Math.max(largest, excess);
+    last = event.at;
+  }
+  return largest;
+}
