--- a/packages/core/src/events.ts
+++ b/packages/core/src/events.ts
@@ -44,6 +44,13 @@
 
   debitGranted: define(1301, 'debug', 'tokens debited'),
   debitRefused: define(1302, 'info', 'tokens refused'),
+  ringChanged: define(1303, 'info', 'quota ring changed'),
+  ringChangeFailed: define(1304, 'warn', 'quota ring change failed'),
+  shareAdopted: define(1305, 'info', 'quota shares adopted'),
+  adoptionPending: define(1306, 'info', 'quota adoption waits for members'),
+  spendingStopped: define(1307, 'warn', 'spending stopped in isolation'),
+  spendingResumed: define(1308, 'info', 'spending resumed'),
+  tokensBorrowed: define(1309, 'debug', 'tokens borrowed'),
 
   placementGranted: define(1401, 'info', 'placement granted'),
   placementRefused: define(1402, 'info', 'placement refused'),
@@ -70,6 +77,11 @@
   cacheEventGap: define(1702, 'info', 'gap in cache events; resynchronising'),
   engineOrdered: define(1703, 'info', 'engine ordered'),
   engineOrderFailed: define(1704, 'warn', 'engine order failed'),
+  engineRoleChanged: define(1705, 'info', 'engine moved to another role in the pools table'),
+  leaseAcquired: define(1601, 'info', 'lease acquired'),
+  leaseLost: define(1602, 'warn', 'lease lost'),
+  leaseReleased: define(1603, 'info', 'lease released'),
+  leaseCallFailed: define(1604, 'warn', 'read or write of a lease failed'),
 
   invariantViolated: define(1901, 'error', 'invariant violated'),
 } as const satisfies Record<string, EventDefinition>;
--- /dev/null
+++ b/packages/node/src/engine-control.ts
@@ -0,0 +1,160 @@
+/** Connects reconciliation with engines, leases and the scheduler of one node. */
+import { randomUUID } from 'node:crypto';
+import { rankByRendezvous } from '@hibiscusbank/core';
+import type { CellId, PoolId, Telemetry, UpstreamId } from '@hibiscusbank/core';
+import { configurationKeys } from '@hibiscusbank/configuration';
+import type { ConfigurationReplica } from '@hibiscusbank/configuration';
+import type { Membership, PeerIdentity, PeerNetwork } from '@hibiscusbank/peers';
+import { putResolved } from '@hibiscusbank/platform';
+import type { ObjectApi } from '@hibiscusbank/platform';
+import { createCacheIndex, createModelOrders, createOrphanSweeper } from '@hibiscusbank/reconciler';
+import type { FindCachedTokens, OwnedCell } from '@hibiscusbank/reconciler';
+import type { CellScheduler } from '@hibiscusbank/scheduler';
+import type { PoolEntry, UpstreamEntry, UpstreamRole } from '@hibiscusbank/settings';
+import { createCellLeases } from './cell-leases.js';
+import type { NodePorts } from './types.js';
+
+export interface EngineControlOptions {
+  readonly self: PeerIdentity;
+  readonly ports: NodePorts;
+  readonly network: PeerNetwork;
+  readonly membership: Membership;
+  readonly configuration: ConfigurationReplica;
+  readonly telemetry: Telemetry;
+  /** The scheduler is created after this, since each needs the other. */
+  readonly getScheduler: () => CellScheduler | undefined;
+}
+
+export interface EngineControl {
+  /** The configuration in which engines that change role are out of service. */
+  readonly configuration: ConfigurationReplica;
+  readonly findCachedTokens: FindCachedTokens;
+  epochIfHeld(cell: CellId): number | undefined;
+  /** Whether this VM is one of the two that may use cold upstreams without the lease. */
+  hasColdShare(cell: CellId): boolean;
+  /** Called with grants of dead nodes that nobody resumed. */
+  onAbandoned(): void;
+  start(): void;
+  stop(): Promise<void>;
+}
+
+/** VMs of a data centre that share the cold limit while nobody holds the lease. */
+const COLD_SHARE_HOLDERS = 2;
+
+/** Changes one upstream's role in the pools table; false when the table changed meanwhile. */
+async function writeRole(
+  objectApi: ObjectApi,
+  poolId: PoolId,
+  upstream: UpstreamId,
+  role: UpstreamRole,
+): Promise<boolean> {
+  const key = configurationKeys.pool(poolId);
+  const stored = await objectApi.get(key);
+  if (stored.isErr() || stored.value === undefined) return false;
+  const pool = stored.value.value as PoolEntry;
+  const upstreams = pool.upstreams.map((entry) =>
+    entry.id === upstream ? { ...entry, role } : entry,
+  );
+  const written = await putResolved(
+    objectApi,
+    key,
+    { ...pool, upstreams },
+    {
+      ifVersion: stored.value.version,
+      writeId: randomUUID(),
+    },
+  );
+  return written.isOk();
+}
+
+/** Creates the engine control of a node. */
+export function createEngineControl(options: EngineControlOptions): EngineControl {
+  const { self, ports, network, membership, configuration, telemetry } = options;
+  const { engines, objectApi, weightStore } = ports;
+
+  const listCells = (): readonly OwnedCell[] => {
+    const described = options.getScheduler()?.listCells() ?? [];
+    return described.flatMap(({ id, pool, upstreams, isOwned }) => {
+      const entry = configuration.pools().get(pool);
+      return isOwned && entry !== undefined ? [{ cell: id, pool: entry, upstreams }] : [];
+    });
+  };
+
+  const leases = createCellLeases({
+    self: self.vm,
+    objectApi,
+    telemetry,
+    listOwned: () => listCells().map(({ cell }) => cell),
+  });
+  const sweeper = createOrphanSweeper({
+    engines,
+    membership,
+    network,
+    telemetry,
+    listCells,
+    isGranted: ({ requestId, attempt }) =>
+      options.getScheduler()?.isHeld(requestId, attempt) ?? false,
+    isRunningHere: ({ requestId, attempt }) =>
+      options.getScheduler()?.findGrant(requestId, attempt) !== undefined,
+  });
+  const cacheIndex = createCacheIndex({ engines, telemetry, listCells });
+  const orders = createModelOrders({
+    engines,
+    weightStore,
+    telemetry,
+    listCells,
+    epochIfHeld: leases.epochIfHeld,
+    readBacklog: (cell) => options.getScheduler()?.backlogs(cell) ?? { prefillMs: 0, decodeMs: 0 },
+    writeRole: (pool, upstream, role) => writeRole(objectApi, pool, upstream, role),
+  });
+
+  /** Rebuilt after each change of the configuration, since placement asks for every upstream. */
+  const entries = new Map<UpstreamId, UpstreamEntry>();
+  let indexedRevision = -1;
+  const findEntry = (upstream: UpstreamId): UpstreamEntry | undefined => {
+    if (indexedRevision !== configuration.revision()) {
+      entries.clear();
+      for (const pool of configuration.pools().values()) {
+        for (const entry of pool.upstreams) entries.set(entry.id, entry);
+      }
+      indexedRevision = configuration.revision();
+    }
+    return entries.get(upstream);
+  };
+  const isHeldBack = (upstream: UpstreamId): boolean => {
+    const entry = findEntry(upstream);
+    return entry !== undefined && orders.isHeldBack(entry);
+  };
+
+  let unsubscribe = (): void => {};
+  return {
+    configuration: {
+      ...configuration,
+      isUpstreamOut: (upstream, dataCentre) =>
+        configuration.isUpstreamOut(upstream, dataCentre) || isHeldBack(upstream),
+    },
+    findCachedTokens: cacheIndex.findCachedTokens,
+    epochIfHeld: leases.epochIfHeld,
+    hasColdShare: (cell) => {
+      const ring = configuration.ring(self.dataCentre)?.members ?? [];
+      return rankByRendezvous(cell, ring).slice(0, COLD_SHARE_HOLDERS).includes(self.vm);
+    },
+    onAbandoned: sweeper.alert,
+    start: () => {
+      unsubscribe = membership.onChange((member) => {
+        if (member.state === 'dead') sweeper.alert();
+      });
+      leases.start();
+      sweeper.start();
+      cacheIndex.start();
+      orders.start();
+    },
+    stop: async () => {
+      unsubscribe();
+      sweeper.stop();
+      cacheIndex.stop();
+      orders.stop();
+      await leases.stop();
+    },
+  };
+}
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -6,8 +6,10 @@
 import type { Membership } from '@hibiscusbank/peers';
 import { createLocalQuota } from '@hibiscusbank/quota';
 import { createScheduler } from '@hibiscusbank/scheduler';
+import type { CellScheduler } from '@hibiscusbank/scheduler';
 import type { NodeSettings } from '@hibiscusbank/settings';
 import { createAdminServer } from './admin.js';
+import { createEngineControl } from './engine-control.js';
 import type { NodePorts, RouterNode } from './types.js';
 
 /** Creates a node. Nothing runs before `start`. */
@@ -16,6 +18,7 @@
   const telemetry = createTelemetry(self, ports.logSink);
   let draining = false;
 
+  const schedulerRef: { current: CellScheduler | undefined } = { current: undefined };
   const membershipRef: { current: Membership | undefined } = { current: undefined };
   const network = createTcpNetwork({
     self,
@@ -38,16 +41,27 @@
     unconfirmedKeysMs: settings.limits.unconfirmedKeysMs,
   });
   const quota = createLocalQuota(self.vm, configuration);
-  const scheduler = createScheduler({
+  const engineControl = createEngineControl({
+    self,
+    ports,
     network,
     membership,
     configuration,
     telemetry,
-    // Cells have no leases yet: every owner counts as the holder of epoch 1.
-    holdsLease: () => 1,
-    coldShareWithoutLease: () => false,
+    getScheduler: () => schedulerRef.current,
+  });
+  const scheduler = createScheduler({
+    network,
+    membership,
+    configuration: engineControl.configuration,
+    telemetry,
+    holdsLease: engineControl.epochIfHeld,
+    coldShareWithoutLease: engineControl.hasColdShare,
+    findCachedTokens: engineControl.findCachedTokens,
+    onAbandoned: engineControl.onAbandoned,
     leaveLimitMs: settings.limits.drainTimeoutMs,
   });
+  schedulerRef.current = scheduler;
   const gateway = createGateway({
     vm: self.vm,
     listen: settings.listen,
@@ -78,6 +92,7 @@
   });
 
   const stopAll = async (): Promise<void> => {
+    await engineControl.stop();
     await scheduler.stop();
     await quota.stop();
     await configuration.stop();
@@ -101,6 +116,7 @@
       await configuration.start();
       await quota.start();
       await scheduler.start();
+      engineControl.start();
       await gateway.start();
       telemetry.log('nodeStarted');
     },
