--- a/packages/gateway/test/support/fakes.ts
+++ b/packages/gateway/test/support/fakes.ts
@@ -116,7 +116,13 @@
   const charges: Charge[] = [];
   const quota: Quota = {
     debit: ({ organisation, requestId: id, tokens }) => {
-      const charge = { organisation, requestId: id, holder: vmId('vm-1'), tokens };
+      const charge = {
+        id: `charge-${id}`,
+        organisation,
+        requestId: id,
+        holder: vmId('vm-1'),
+        tokens,
+      };
       charges.push(charge);
       return okAsync(charge);
     },
--- a/packages/reconciler/test/support.ts
+++ b/packages/reconciler/test/support.ts
@@ -155,5 +155,5 @@
 }
 
 export function createMember(name: string, state: Member['state'] = 'live'): Member {
-  return { vm: vmId(name), dataCentre: DATA_CENTRE, peerAddress: '', state };
+  return { vm: vmId(name), dataCentre: DATA_CENTRE, peerAddress: '', state, incarnation: 1 };
 }
