Record each token once in the load tool

Each token was recorded in three histograms and each stream listened on one shared signal. Totals are now summed at the end, and streams are aborted through a set. Engines skip the formatting of events that nobody reads.

--- a/packages/standins/src/engine/streams.ts
+++ b/packages/standins/src/engine/streams.ts
@@ -44,9 +44,11 @@
 
 /** Produces one token and writes it to every reader. */
 export function produceToken(stream: Stream): void {
-  const event = formatEvent(stream, stream.produced);
+  if (stream.readers.size > 0) {
+    const event = formatEvent(stream, stream.produced);
+    for (const reader of stream.readers) reader.write(event);
+  }
   stream.produced += 1;
-  for (const reader of stream.readers) reader.write(event);
   if (!isFinished(stream)) return;
   for (const reader of stream.readers) reader.end();
   stream.readers.clear();
--- a/packages/standins/src/load/plan-request.ts
+++ b/packages/standins/src/load/plan-request.ts
@@ -47,10 +47,11 @@
   return text;
 }
 
-function repeatTo(text: string, offset: number, length: number): string {
-  const start = offset % text.length;
-  const rotated = text.slice(start) + text.slice(0, start);
-  return rotated.repeat(Math.ceil(length / rotated.length)).slice(0, length);
+/** Cuts a text of a length out of the filler, which repeats. */
+function cutFiller(filler: string, offset: number, length: number): string {
+  const start = offset % FILLER_CHARS;
+  if (start + length <= filler.length) return filler.slice(start, start + length);
+  return filler.repeat(Math.ceil((start + length) / filler.length)).slice(start, start + length);
 }
 
 /** Draws evenly on a logarithmic scale. */
@@ -83,10 +84,10 @@
     const length = drawFromRange(random, route.promptTokens) * CHARS_PER_TOKEN;
     const variant = random.below(Math.max(1, route.sharedPrompts));
     const sharedLength = Math.min(route.sharedTokens * CHARS_PER_TOKEN, length);
-    const shared = repeatTo(filler, variant * 101, sharedLength);
+    const shared = cutFiller(filler, variant * 101, sharedLength);
     const unique = ` #${options.seed}.${sequence} `;
     const rest = Math.max(0, length - sharedLength - unique.length);
-    return `[[${shared}${unique}${repeatTo(filler, sequence * 7, rest)}]]`;
+    return `[[${shared}${unique}${cutFiller(filler, sequence * 7, rest)}]]`;
   };
   const planModel = (organisation: LoadOrganisation, route: ModelRoute): PlannedRequest => {
     const prompt = writePrompt(route);
@@ -115,7 +116,7 @@
   };
   const planPlain = (organisation: LoadOrganisation, route: PlainRoute): PlannedRequest => {
     const path = `${route.path}?load=${options.seed}.${sequence}`;
-    const body = route.method === 'POST' ? repeatTo(filler, sequence, route.bodyBytes) : undefined;
+    const body = route.method === 'POST' ? cutFiller(filler, sequence, route.bodyBytes) : undefined;
     return {
       organisation,
       route,
--- a/packages/standins/src/load/run-load.ts
+++ b/packages/standins/src/load/run-load.ts
@@ -5,7 +5,7 @@
 import type { PlannedRequest } from './plan-request.js';
 import { sendRequest } from './send-request.js';
 import type { SendContext } from './send-request.js';
-import { createTally } from './tally.js';
+import { createTally, summarise } from './tally.js';
 import type { Tally } from './tally.js';
 import { createTargets } from './targets.js';
 import type { LoadOptions, LoadReport, LoadSummary, RequestResult } from './types.js';
@@ -33,25 +33,46 @@
   }
 }
 
+interface Leaf {
+  readonly organisation: string;
+  readonly route: string;
+  readonly tally: Tally;
+}
+
+/** One tally for each organisation and route; a token is recorded once and sums come at the end. */
 function createTallies(options: LoadOptions) {
-  const total = createTally();
-  const byOrganisation = new Map(options.organisations.map(({ name }) => [name, createTally()]));
-  const byRoute = new Map(options.routes.map(({ name }) => [name, createTally()]));
-  const select = (planned: PlannedRequest): Tally[] =>
-    [total, byOrganisation.get(planned.organisation.name), byRoute.get(planned.route.name)].filter(
-      (tally) => tally !== undefined,
-    );
-  const summariseAll = (tallies: Map<string, Tally>, seconds: number) =>
+  const leaves: Leaf[] = [];
+  const select = (planned: PlannedRequest): Tally => {
+    const organisation = planned.organisation.name;
+    const route = planned.route.name;
+    const found = leaves.find((leaf) => leaf.organisation === organisation && leaf.route === route);
+    if (found !== undefined) return found.tally;
+    const tally = createTally();
+    leaves.push({ organisation, route, tally });
+    return tally;
+  };
+  const summariseBy = (
+    names: readonly string[],
+    field: 'organisation' | 'route',
+    seconds: number,
+  ): Record<string, LoadSummary> =>
     Object.fromEntries(
-      [...tallies].map(([name, tally]): [string, LoadSummary] => [name, tally.summarise(seconds)]),
+      names.map((name): [string, LoadSummary] => {
+        const own = leaves.filter((leaf) => leaf[field] === name).map((leaf) => leaf.tally);
+        return [name, summarise(own, seconds)];
+      }),
     );
+  const organisations = options.organisations.map(({ name }) => name);
+  const routes = options.routes.map(({ name }) => name);
   return {
-    total,
     select,
     summarise: (seconds: number) => ({
-      total: total.summarise(seconds),
-      byOrganisation: summariseAll(byOrganisation, seconds),
-      byRoute: summariseAll(byRoute, seconds),
+      total: summarise(
+        leaves.map((leaf) => leaf.tally),
+        seconds,
+      ),
+      byOrganisation: summariseBy(organisations, 'organisation', seconds),
+      byRoute: summariseBy(routes, 'route', seconds),
     }),
   };
 }
@@ -104,7 +125,8 @@
   const planner = createRequestPlanner(options);
   const running = new Set<Promise<void>>();
   const faults: string[] = [];
-  const end = new AbortController();
+  const aborts = new Set<() => void>();
+  let over = false;
   let skipped = 0;
   let noTarget = 0;
   let peakConcurrent = 0;
@@ -112,14 +134,12 @@
     client,
     targets,
     resumes: options.resumes,
-    signal: end.signal,
-    onGap: (planned, gapMs) => {
-      for (const tally of tallies.select(planned)) tally.addGap(gapMs);
-    },
+    running: aborts,
+    isOver: () => over,
   };
 
-  const finish = (planned: PlannedRequest, result: RequestResult): void => {
-    for (const tally of tallies.select(planned)) tally.addResult(planned.route, result);
+  const finish = (planned: PlannedRequest, tally: Tally, result: RequestResult): void => {
+    tally.addResult(planned.route, result);
     const isFault = result.outcome === 'wrong' || result.outcome === 'cut';
     if (isFault && faults.length < MAX_FAULTS_KEPT) {
       faults.push(`${result.outcome}: ${planned.route.name}: ${result.detail ?? 'no detail'}`);
@@ -136,10 +156,12 @@
       noTarget += 1;
       return;
     }
-    for (const tally of tallies.select(planned)) tally.addSent();
-    const ended = sendRequest(context, planned, target, arrivedAtMs).then((result) => {
+    const tally = tallies.select(planned);
+    tally.addSent();
+    const arrival = { planned, startedAtMs: arrivedAtMs, onGap: tally.addGap };
+    const ended = sendRequest(context, arrival, target).then((result) => {
       running.delete(ended);
-      finish(planned, result);
+      finish(planned, tally, result);
     });
     running.add(ended);
     peakConcurrent = Math.max(peakConcurrent, running.size);
@@ -153,7 +175,8 @@
   const seconds = Math.max(options.seconds, 0.001);
   const sentSeconds = signal?.aborted ? (performance.now() - startedAtMs) / MS_PER_S : seconds;
   await waitForAll(running, options.drainSeconds * MS_PER_S);
-  end.abort();
+  over = true;
+  for (const abort of [...aborts]) abort();
   await Promise.all(running);
   targets.stop();
   await client.destroy();
--- a/packages/standins/src/load/scan-events.ts
+++ b/packages/standins/src/load/scan-events.ts
@@ -23,6 +23,8 @@
 
 const ANY_TOKEN = /" [0-9a-f]{8}\.\d+/;
 const FINISH_MARK = '"finish_reason":"';
+const ERROR_EVENT = 'event: error';
+const DONE_EVENT = 'data: [DONE]';
 const ID_PREFIX = 'id: ';
 
 /** The number of tokens that an answer with a finish reason has to have. */
@@ -35,6 +37,8 @@
 export function createEventScanner(tag: string, maxTokens: number): EventScanner {
   let rest = '';
   let count = 0;
+  let token = tokenText(tag, 0);
+  let quotedToken = `"${token}`;
   let lastTokenEvent = '';
   let reason: string | undefined;
   let done = false;
@@ -44,40 +48,41 @@
   const blame = (what: string): void => {
     fault ??= `${what} at token ${count}`;
   };
-  const scanTokens = (event: string): void => {
-    let token = tokenText(tag, count);
-    let at = event.indexOf(`"${token}`) + 1;
+  /** Returns the position after the last token in the event, or 0. */
+  const scanTokens = (event: string): number => {
+    let at = event.indexOf(quotedToken) + 1;
     if (at === 0) {
       if (ANY_TOKEN.test(event)) blame('unexpected token');
-      return;
+      return 0;
     }
     while (event.startsWith(token, at)) {
       at += token.length;
       count += 1;
       token = tokenText(tag, count);
     }
+    quotedToken = `"${token}`;
     if (event[at] !== '"') blame('malformed token');
     lastTokenEvent = event;
+    return at;
   };
-  const scanEnd = (event: string): void => {
-    const at = event.indexOf(FINISH_MARK);
+  const scanEnd = (event: string, from: number): void => {
+    const at = event.indexOf(FINISH_MARK, from);
     if (at === -1) return;
     const start = at + FINISH_MARK.length;
     reason = event.slice(start, event.indexOf('"', start));
     if (count !== countExpected(tag, maxTokens, reason)) blame(`finish reason ${reason}`);
   };
   const scanEvent = (event: string): void => {
-    if (event.startsWith('event: error')) {
+    if (event.startsWith(ERROR_EVENT)) {
       errorOutcome = event.includes('"outcome":"not_run"') ? 'not_run' : 'unknown';
       return;
     }
-    if (event.includes('data: [DONE]')) {
+    if (event.startsWith(DONE_EVENT)) {
       done = true;
       return;
     }
     if (reason !== undefined && ANY_TOKEN.test(event)) blame('token after the end');
-    scanTokens(event);
-    scanEnd(event);
+    scanEnd(event, scanTokens(event));
   };
 
   return {
--- a/packages/standins/src/load/send-request.ts
+++ b/packages/standins/src/load/send-request.ts
@@ -16,15 +16,22 @@
   readonly client: Dispatcher;
   readonly targets: Targets;
   readonly resumes: boolean;
-  /** Aborts what still runs at the end of the run. */
-  readonly signal: AbortSignal;
-  readonly onGap: (planned: PlannedRequest, gapMs: number) => void;
+  /** Running requests by what aborts them; a listener for each on one signal would cost more. */
+  readonly running: Set<() => void>;
+  /** Whether the run is over and what still runs is aborted. */
+  readonly isOver: () => boolean;
 }
 
-/** What one request has received, over all its connections. */
-interface Progress {
+/** A request at the time of its arrival. */
+export interface Arrival {
   readonly planned: PlannedRequest;
   readonly startedAtMs: number;
+  /** Receives the time between two tokens. */
+  readonly onGap: (gapMs: number) => void;
+}
+
+/** What one request has received, over all its connections. */
+interface Progress extends Arrival {
   readonly scanner: EventScanner | undefined;
   firstTokenMs: number | undefined;
   lastTokenAtMs: number;
@@ -39,15 +46,15 @@
   readonly detail?: string | undefined;
 }
 
-function noteTokens(context: SendContext, progress: Progress, tokens: number): void {
+function noteTokens(progress: Progress, tokens: number): void {
   const now = performance.now();
   if (progress.firstTokenMs === undefined) {
     progress.firstTokenMs = now - progress.startedAtMs;
   } else {
-    context.onGap(progress.planned, now - progress.lastTokenAtMs);
+    progress.onGap(now - progress.lastTokenAtMs);
   }
   // Tokens that arrive together have no gap between them.
-  for (let i = 1; i < tokens; i += 1) context.onGap(progress.planned, 0);
+  for (let i = 1; i < tokens; i += 1) progress.onGap(0);
   progress.lastTokenAtMs = now;
 }
 
@@ -74,7 +81,7 @@
 
 function classifyError(context: SendContext, progress: Progress, error: Error): Ending {
   if (progress.cancelled) return { outcome: 'cancelled' };
-  if (context.signal.aborted) return { outcome: 'unfinished' };
+  if (context.isOver()) return { outcome: 'unfinished' };
   const code = (error as Error & { code?: string }).code ?? error.message;
   return { outcome: CONNECT_CODES.has(code) ? 'unreachable' : 'cut', detail: code };
 }
@@ -96,10 +103,10 @@
     let abort = (): void => {};
     const onAbort = (): void => abort();
     const finish = (ending: Ending): void => {
-      context.signal.removeEventListener('abort', onAbort);
+      context.running.delete(onAbort);
       resolve(ending);
     };
-    context.signal.addEventListener('abort', onAbort);
+    context.running.add(onAbort);
     const read = (chunk: Buffer): void => {
       const text = chunk.toString('latin1');
       if (status !== HTTP_OK || scanner === undefined) {
@@ -107,7 +114,7 @@
         return;
       }
       const tokens = scanner.feed(text);
-      if (tokens > 0) noteTokens(context, progress, tokens);
+      if (tokens > 0) noteTokens(progress, tokens);
       if (planned.cancelAfter === undefined || scanner.tokens() < planned.cancelAfter) return;
       progress.cancelled = true;
       abort();
@@ -123,7 +130,7 @@
       {
         onRequestStart: (controller) => {
           abort = () => controller.abort(new Error('given up'));
-          if (context.signal.aborted) abort();
+          if (context.isOver()) abort();
         },
         onResponseStart: (_controller, code, headers) => {
           status = code;
@@ -148,12 +155,11 @@
   return context.resumes && isBroken && hasBegun && progress.resumed < MAX_RESUMES;
 }
 
-function createProgress(planned: PlannedRequest, startedAtMs: number): Progress {
-  const { expectation, route } = planned;
+function createProgress(arrival: Arrival): Progress {
+  const { expectation, route } = arrival.planned;
   const streams = expectation.kind === 'model' && route.kind === 'model' && route.stream;
   return {
-    planned,
-    startedAtMs,
+    ...arrival,
     scanner: streams ? createEventScanner(expectation.tag, expectation.maxTokens) : undefined,
     firstTokenMs: undefined,
     lastTokenAtMs: 0,
@@ -187,11 +193,10 @@
  */
 export async function sendRequest(
   context: SendContext,
-  planned: PlannedRequest,
+  arrival: Arrival,
   firstTarget: LoadTarget,
-  startedAtMs: number,
 ): Promise<RequestResult> {
-  const progress = createProgress(planned, startedAtMs);
+  const progress = createProgress(arrival);
   let target = firstTarget;
   let ending = await sendOnce(context, progress, target);
   while (mayResume(context, progress, ending)) {
--- a/packages/standins/src/load/tally.ts
+++ b/packages/standins/src/load/tally.ts
@@ -18,7 +18,19 @@
   addSent(): void;
   addGap(gapMs: number): void;
   addResult(route: LoadRoute, result: RequestResult): void;
-  summarise(seconds: number): LoadSummary;
+  read(): TallyTotals;
+}
+
+/** What a tally has counted; totals of several tallies add up. */
+export interface TallyTotals {
+  readonly sent: number;
+  readonly good: number;
+  readonly tokens: number;
+  readonly resumed: number;
+  readonly outcomes: Readonly<Record<LoadOutcome, number>>;
+  readonly refusedByStatus: Readonly<Record<string, number>>;
+  readonly firstToken: Histogram;
+  readonly tokenGap: Histogram;
 }
 
 function createHistogram(): Histogram {
@@ -52,11 +64,8 @@
   return route.kind === 'plain' || (result.meanGapMs ?? 0) <= route.tokenGapTargetMs;
 }
 
-/** Creates an empty tally. */
-export function createTally(): Tally {
-  const firstToken = createHistogram();
-  const tokenGap = createHistogram();
-  const outcomes: Record<LoadOutcome, number> = {
+function createOutcomeCounts(): Record<LoadOutcome, number> {
+  return {
     answered: 0,
     wrong: 0,
     not_run: 0,
@@ -66,6 +75,13 @@
     cancelled: 0,
     unfinished: 0,
   };
+}
+
+/** Creates an empty tally. */
+export function createTally(): Tally {
+  const firstToken = createHistogram();
+  const tokenGap = createHistogram();
+  const outcomes = createOutcomeCounts();
   const refusedByStatus: Record<string, number> = {};
   let sent = 0;
   let good = 0;
@@ -87,17 +103,51 @@
       const hasToken = result.outcome === 'answered' && result.firstTokenMs !== undefined;
       if (hasToken) record(firstToken, result.firstTokenMs ?? 0);
     },
-    summarise: (seconds) => ({
+    read: () => ({
       sent,
-      outcomes,
-      refusedByStatus,
       good,
-      goodPerS: good / seconds,
-      answeredPerS: outcomes.answered / seconds,
       tokens,
       resumed,
-      firstToken: summariseHistogram(firstToken),
-      tokenGap: summariseHistogram(tokenGap),
+      outcomes,
+      refusedByStatus,
+      firstToken,
+      tokenGap,
     }),
   };
 }
+
+function addCounts(sum: Record<string, number>, counts: Readonly<Record<string, number>>): void {
+  for (const [name, count] of Object.entries(counts)) sum[name] = (sum[name] ?? 0) + count;
+}
+
+function sumOf(all: readonly TallyTotals[], read: (totals: TallyTotals) => number): number {
+  return all.reduce((sum, totals) => sum + read(totals), 0);
+}
+
+/** Sums tallies up over the seconds of the arrivals. */
+export function summarise(tallies: readonly Tally[], seconds: number): LoadSummary {
+  const all = tallies.map((tally) => tally.read());
+  const outcomes = createOutcomeCounts();
+  const refusedByStatus: Record<string, number> = {};
+  const firstToken = createHistogram();
+  const tokenGap = createHistogram();
+  for (const totals of all) {
+    addCounts(outcomes, totals.outcomes);
+    addCounts(refusedByStatus, totals.refusedByStatus);
+    firstToken.add(totals.firstToken);
+    tokenGap.add(totals.tokenGap);
+  }
+  const good = sumOf(all, (totals) => totals.good);
+  return {
+    sent: sumOf(all, (totals) => totals.sent),
+    outcomes,
+    refusedByStatus,
+    good,
+    goodPerS: good / seconds,
+    answeredPerS: outcomes.answered / seconds,
+    tokens: sumOf(all, (totals) => totals.tokens),
+    resumed: sumOf(all, (totals) => totals.resumed),
+    firstToken: summariseHistogram(firstToken),
+    tokenGap: summariseHistogram(tokenGap),
+  };
+}
