--- a/packages/standins/src/engine/engine-core.ts
+++ b/packages/standins/src/engine/engine-core.ts
@@ -19,6 +19,7 @@
 import { runPrefill } from './prefills.js';
 import type { PrefillCall, PrefillOutcome } from './prefills.js';
 import { createRunLog } from './run-log.js';
+import { cutReaders } from './streams.js';
 import type { Stream } from './streams.js';
 import { createCounters, NO_ENGINE_FAULTS } from './types.js';
 import type {
@@ -137,8 +138,12 @@
     },
     onToken: (stream) => {
       counters.tokens += 1;
-      const limit = faults.read().dieAfterTokens;
-      if (limit === 0 || stream.produced < limit) return false;
+      const { dieAfterTokens, cutAfterTokens } = faults.read();
+      if (cutAfterTokens > 0 && stream.produced >= cutAfterTokens) {
+        faults.set({ cutAfterTokens: 0 });
+        cutReaders(stream);
+      }
+      if (dieAfterTokens === 0 || stream.produced < dieAfterTokens) return false;
       crash();
       return true;
     },
--- a/packages/standins/src/engine/types.ts
+++ b/packages/standins/src/engine/types.ts
@@ -79,6 +79,8 @@
   readonly stallTransfers: boolean;
   /** The next stream with this many tokens crashes the engine; 0 for none. Resets itself. */
   readonly dieAfterTokens: number;
+  /** Breaks the connections of the next stream with this many tokens; it runs on. Resets itself. */
+  readonly cutAfterTokens: number;
   readonly slowFactor: number;
   readonly loseCacheEvents: boolean;
   /** Starts a cold start. Resets itself. */
@@ -90,6 +92,7 @@
   freeze: false,
   stallTransfers: false,
   dieAfterTokens: 0,
+  cutAfterTokens: 0,
   slowFactor: 1,
   loseCacheEvents: false,
   turnCold: false,
--- a/packages/standins/src/server.ts
+++ b/packages/standins/src/server.ts
@@ -40,6 +40,11 @@
   await listen(server, port);
   const { port: actual } = server.address() as AddressInfo;
   let closed = Promise.resolve();
+  let stopped = false;
+  const reopen = async (): Promise<void> => {
+    await closed;
+    if (!stopped && !server.listening) await listen(server, actual);
+  };
   const close = (): void => {
     if (!server.listening) return;
     closed = new Promise((resolve) => {
@@ -51,10 +56,11 @@
     url: `http://127.0.0.1:${actual}`,
     setRefusing: (refusing) => {
       if (refusing) close();
-      else if (!server.listening) void closed.then(() => listen(server, actual));
+      else void reopen();
     },
     cutConnections: () => server.closeAllConnections(),
     stop: async () => {
+      stopped = true;
       close();
       await closed;
     },
--- a/packages/standins/test/engine-http.test.ts
+++ b/packages/standins/test/engine-http.test.ts
@@ -5,7 +5,7 @@
 import { computeTag, startEngine, tokenText } from '@hibiscusbank/standins';
 import type { EngineOptions, EngineStandin } from '@hibiscusbank/standins';
 import type { Result } from 'neverthrow';
-import { afterEach, expect, test } from 'vitest';
+import { afterEach, expect, test, vi } from 'vitest';
 
 const fast: Partial<EngineOptions> = {
   tokenMs: 1,
@@ -149,3 +149,38 @@
   expect((await engines.order(lax.url, stale)).isOk()).toBe(true);
   expect(strict.readState().role).toBe('decode');
 });
+
+test('a stream whose connection broke runs on and can be resumed while it runs', async () => {
+  const engine = await start();
+  engine.setFaults({ cutAfterTokens: 2 });
+  const { kvId } = await prefill(engine, 'r1', 'hello');
+  const { result, tokens } = await decode({
+    source: engine,
+    engine,
+    id: 'r1',
+    kvId,
+    maxTokens: 50,
+  });
+  expect(readError(result)?.effect).toBe('unknown');
+  const indexes = tokens.map((token) => token.index);
+  const resumed = await engines.resume({
+    requestId: requestId('r1'),
+    attempt: 1,
+    address: engine.url,
+    lastIndex: indexes.at(-1) ?? -1,
+    signal: never,
+    onOwner: () => undefined,
+    onTokens: (batch) => indexes.push(...batch.map((token) => token.index)),
+  });
+  expect(resumed.isOk()).toBe(true);
+  expect(indexes).toEqual(Array.from({ length: 50 }, (_, i) => i));
+  expect(engine.readState().decodes).toBe(1);
+});
+
+test('an engine that refuses connections reports none and accepts them again', async () => {
+  const engine = await start();
+  engine.setFaults({ refuse: true });
+  expect(readError(await engines.readLoad(engine.url))?.effect).toBe('not_run');
+  engine.clearFaults();
+  await vi.waitFor(async () => expect((await engines.readLoad(engine.url)).isOk()).toBe(true));
+});
