Report a control call without an answer as a timeout

The adapter's own time limit aborted the call, which was then reported as a cancellation by the caller, so that a silent engine did not count as failed. The limit now uses the runtime's timers, so that tests can advance it.

--- a/packages/engines/src/http-engine.ts
+++ b/packages/engines/src/http-engine.ts
@@ -44,8 +44,11 @@
   };
 }
 
-async function sendJson(client: Dispatcher, call: JsonCall): Promise<Result<unknown, RouterError>> {
-  const signal = call.signal ?? AbortSignal.timeout(CONTROL_TIMEOUT_MS);
+async function sendWithSignal(
+  client: Dispatcher,
+  call: JsonCall,
+  signal: AbortSignal,
+): Promise<Result<unknown, RouterError>> {
   try {
     const res = await client.request({
       origin: call.address,
@@ -68,6 +71,20 @@
   }
 }
 
+/** Calls without a signal of their own get the time limit of control calls. */
+async function sendJson(client: Dispatcher, call: JsonCall): Promise<Result<unknown, RouterError>> {
+  if (call.signal !== undefined) return sendWithSignal(client, call, call.signal);
+  const limit = new AbortController();
+  const timer = setTimeout(() => limit.abort(), CONTROL_TIMEOUT_MS);
+  const result = await sendWithSignal(client, call, limit.signal);
+  clearTimeout(timer);
+  if (result.isErr() && result.error.kind === 'cancelled') {
+    const message = `${call.address} did not answer within ${CONTROL_TIMEOUT_MS} ms; check the engine`;
+    return err(createError('timeout', message, { cause: result.error, effect: 'unknown' }));
+  }
+  return result;
+}
+
 async function toResult(
   pending: Promise<RouterError | undefined>,
 ): Promise<Result<void, RouterError>> {
