Propagate configuration between peers

Cause: every node watched the object API, withdrawals stayed on one node, and a started node without the platform could never become ready.

Positions carry a digest of the entries, so that nodes compare states without regard to revisions of the store that do not concern configuration.

--- a/packages/configuration/src/replica.ts
+++ b/packages/configuration/src/replica.ts
@@ -1,90 +1,137 @@
-/** The configuration replica of a node. */
-import { monotonicMs, sleep, unwrap } from '@hibiscusbank/core';
-import type { Telemetry } from '@hibiscusbank/core';
+/** The configuration replica of a node: assembles entries, watch, propagation and withdrawals. */
+import { createRandom, hash32 } from '@hibiscusbank/core';
+import type { Random, Telemetry } from '@hibiscusbank/core';
+import type { Membership, PeerNetwork } from '@hibiscusbank/peers';
 import type { ObjectApi } from '@hibiscusbank/platform';
-import { CONFIGURATION_PREFIX } from './types.js';
-import type { ConfigurationEntry, ConfigurationReplica } from './types.js';
+import { createConfirmation } from './confirmation.js';
+import { createEntryStore } from './entry-store.js';
+import { createReplicaMetrics } from './metrics.js';
+import type { EntrySource } from './metrics.js';
+import { createPlatformSource } from './platform-source.js';
+import { createPropagation } from './propagation.js';
+import { loadInitialState } from './startup.js';
+import type { ConfigurationEntry, ConfigurationReplica, Position, TenantKey } from './types.js';
 import { applyToView, createView } from './view.js';
-
-const WATCH_WAIT_MS = 10_000;
-const RETRY_PAUSE_MS = 500;
+import { createWatcher } from './watcher.js';
+import { createWithdrawals } from './withdrawals.js';
 
 export interface ReplicaOptions {
   readonly objectApi: ObjectApi;
+  readonly network: PeerNetwork;
+  readonly membership: Membership;
   readonly telemetry: Telemetry;
   readonly unconfirmedKeysMs: number;
+  readonly random?: Random;
 }
 
-/** Creates the replica of one node. */
+/** Revision, digest, age of the platform's last answer in seconds, digest of withdrawals. */
+type ProbeValue = readonly [number, number, number | null, number];
+
+/** Creates the replica of one node. Create it before the network and the membership start. */
 export function createConfigurationReplica(options: ReplicaOptions): ConfigurationReplica {
-  const { objectApi, telemetry } = options;
+  const { objectApi, network, membership, telemetry } = options;
+  // eslint-disable-next-line no-bitwise
+  const random = options.random ?? createRandom((hash32(network.self.vm) ^ Date.now()) | 0);
   const view = createView();
-  const entries = new Map<string, ConfigurationEntry>();
   const listeners = new Set<(entry: ConfigurationEntry) => void>();
   const stopping = new AbortController();
-  let revision = 0;
+  const confirmation = createConfirmation(membership, options.unconfirmedKeysMs);
+  const metrics = createReplicaMetrics(telemetry, confirmation.platformAgeMs);
   let ready = false;
-  let confirmedAt = monotonicMs();
+  let observeKey: (key: TenantKey) => void = () => {};
+  let push: (entries: readonly ConfigurationEntry[], before: Position) => void = () => {};
 
-  const apply = (entry: ConfigurationEntry): void => {
-    const previous = entries.get(entry.key);
-    if (previous !== undefined && previous.revision >= entry.revision) return;
-    entries.set(entry.key, entry);
-    applyToView(view, entry);
-    telemetry.log('configurationApplied', { key: entry.key, revision: entry.revision });
+  const store = createEntryStore(telemetry, (entry) => {
+    const { key, revision } = entry;
+    if (applyToView(view, entry)) telemetry.log('configurationApplied', { key, revision });
+    else telemetry.log('configurationRejected', { key, revision });
     for (const listener of listeners) listener(entry);
-  };
-
-  const confirm = (upTo: number): void => {
-    revision = Math.max(revision, upTo);
-    telemetry.metrics.configurationRevision.set(revision);
-    confirmedAt = monotonicMs();
-    ready = true;
-  };
+  });
 
-  const loadAll = async (): Promise<void> => {
-    const list = unwrap(await objectApi.list(CONFIGURATION_PREFIX));
-    for (const object of list.objects) {
-      apply({ key: object.key, revision: object.version, value: object.value, deleted: false });
+  const onApplied = (
+    applied: readonly ConfigurationEntry[],
+    before: Position,
+    source: EntrySource,
+  ): void => {
+    metrics.entries.inc({ source }, applied.length);
+    for (const { key, value, deleted } of applied) {
+      if (key.startsWith('config/keys/') && !deleted) observeKey(value as TenantKey);
     }
-    confirm(list.revision);
+    if (ready) push(applied, before);
   };
 
-  const watchOnce = async (): Promise<void> => {
-    const result = await objectApi.watch(
-      CONFIGURATION_PREFIX,
-      revision,
-      WATCH_WAIT_MS,
-      stopping.signal,
-    );
-    const batch = unwrap(result);
-    for (const change of batch.changes) {
-      apply({
-        key: change.key,
-        revision: change.version,
-        value: change.value,
-        deleted: change.deleted,
-      });
-    }
-    confirm(batch.revision);
-  };
+  const watcher = createWatcher({
+    source: createPlatformSource(objectApi),
+    store,
+    membership,
+    confirmation,
+    telemetry,
+    metrics,
+    onApplied,
+  });
+  const withdrawals = createWithdrawals({
+    objectApi,
+    network,
+    membership,
+    random,
+    telemetry,
+    metrics,
+    findKey: (digest) => view.keys.get(digest),
+    isWriter: watcher.isWatcher,
+  });
+  observeKey = withdrawals.observe;
+  const propagation = createPropagation({
+    store,
+    network,
+    membership,
+    random,
+    telemetry,
+    metrics,
+    isReady: () => ready,
+    onApplied,
+  });
+  push = propagation.push;
 
-  const run = async (): Promise<void> => {
-    while (!stopping.signal.aborted) {
-      try {
-        if (ready) await watchOnce();
-        else await loadAll();
-      } catch (thrown) {
-        telemetry.log('configurationWatchFailed', { error: String(thrown) });
-        await sleep(RETRY_PAUSE_MS, stopping.signal);
+  membership.addPayload({
+    name: 'cfg',
+    scope: 'all',
+    read: (): ProbeValue | undefined => {
+      if (!ready) return undefined;
+      const { revision, digest } = store.position();
+      return [revision, digest, confirmation.writeAge() ?? null, withdrawals.digest()];
+    },
+    receive: (value, from) => {
+      const [revision, digest, ageS, withdrawalsDigest] = value as ProbeValue;
+      if (ageS !== null) confirmation.readAge(ageS);
+      if (withdrawalsDigest !== withdrawals.digest()) {
+        withdrawals.receiveDigest(withdrawalsDigest, from.vm);
       }
-    }
+      if (ready) propagation.comparePosition(from.vm, { revision, digest });
+    },
+  });
+
+  const run = async (): Promise<void> => {
+    const { signal } = stopping;
+    await loadInitialState({
+      store,
+      watcher,
+      propagation,
+      withdrawals,
+      network,
+      membership,
+      signal,
+    });
+    if (signal.aborted) return;
+    ready = true;
+    telemetry.log('configurationReady', { revision: store.position().revision });
+    void withdrawals.run(signal);
+    await watcher.run(signal);
   };
 
   const isOut = (kind: string, name: string): boolean => view.drains.has(`${kind}/${name}`);
 
   return {
-    revision: () => revision,
+    revision: () => store.position().revision,
     isReady: () => ready,
     routes: () => view.routes,
     pools: () => view.pools,
@@ -92,27 +139,22 @@
     organisations: () => [...view.organisations.values()],
     findKey: (digest) => {
       const key = view.keys.get(digest);
-      return key?.withdrawn ? undefined : key;
+      return key === undefined || key.withdrawn || withdrawals.has(digest) ? undefined : key;
     },
-    areKeysConfirmed: () => monotonicMs() - confirmedAt <= options.unconfirmedKeysMs,
+    areKeysConfirmed: confirmation.areKeysConfirmed,
     isDataCentreOut: (dataCentre) => isOut('dc', dataCentre),
     isVmOut: (vm) => isOut('vm', vm),
     isUpstreamOut: (upstream, dataCentre) => isOut('upstream', upstream) || isOut('dc', dataCentre),
     ring: (dataCentre) => view.rings.get(dataCentre),
-    dataCentres: () =>
-      [
-        ...new Set(
-          [...view.pools.values()].flatMap((pool) => pool.upstreams.map((u) => u.dataCentre)),
-        ),
-      ].sort(),
+    dataCentres: () => {
+      const upstreams = [...view.pools.values()].flatMap((pool) => pool.upstreams);
+      return [...new Set(upstreams.map((upstream) => upstream.dataCentre))].sort();
+    },
     onChange: (listener) => {
       listeners.add(listener);
       return () => listeners.delete(listener);
     },
-    withdrawKey: async (digest) => {
-      const key = view.keys.get(digest);
-      if (key !== undefined) view.keys.set(digest, { ...key, withdrawn: true });
-    },
+    withdrawKey: withdrawals.withdraw,
     start: async () => {
       void run();
     },
--- a/packages/configuration/src/types.ts
+++ b/packages/configuration/src/types.ts
@@ -55,6 +55,20 @@
   readonly deleted: boolean;
 }
 
+/** State of a replica: equal positions mean equal entries. */
+export interface Position {
+  /** Highest revision of an entry. */
+  readonly revision: number;
+  /** Hash over keys and revisions of all entries that are not deleted. */
+  readonly digest: number;
+}
+
+/** A complete state: all entries that exist at revision `floor` of the platform's store. */
+export interface Snapshot {
+  readonly floor: number;
+  readonly entries: readonly ConfigurationEntry[];
+}
+
 export interface ConfigurationReplica {
   /** Highest revision in force. */
   revision(): number;
@@ -76,7 +90,10 @@
   /** Data centres named in the pools table, sorted. */
   dataCentres(): readonly DataCentreId[];
   onChange(listener: (entry: ConfigurationEntry) => void): () => void;
-  /** Withdraws a key on all reachable nodes without waiting for the platform. */
+  /**
+   * Withdraws a key on all reachable nodes without waiting for the platform. Resolves when they have
+   * been told; the platform is told in the background, for as long as it takes.
+   */
   withdrawKey(digest: KeyDigest): Promise<void>;
   start(): Promise<void>;
   stop(): Promise<void>;
--- a/packages/configuration/src/view.ts
+++ b/packages/configuration/src/view.ts
@@ -29,11 +29,22 @@
   else map.set(key, value);
 }
 
-/** Applies one entry to the view. Entries of unknown kinds are ignored. */
-export function applyToView(view: ConfigurationView, entry: ConfigurationEntry): void {
+/** A drain needs no value; all other kinds have an object or a list. */
+function isWellFormed(kind: string | undefined, { value, deleted }: ConfigurationEntry): boolean {
+  if (deleted || kind === 'drains') return true;
+  if (kind === 'routes') return Array.isArray(value);
+  return typeof value === 'object' && value !== null;
+}
+
+/**
+ * Applies one entry to the view; returns whether it could. A malformed entry leaves the previous one
+ * in force. Entries of unknown kinds are ignored.
+ */
+export function applyToView(view: ConfigurationView, entry: ConfigurationEntry): boolean {
   const [, kind, ...rest] = entry.key.split('/');
   const name = rest.join('/');
   const { value, deleted } = entry;
+  if (!isWellFormed(kind, entry)) return false;
   if (kind === 'routes') view.routes = deleted ? [] : (value as RouteEntry[]);
   if (kind === 'pools') setOrDelete(view.pools, name as PoolId, value as PoolEntry, deleted);
   if (kind === 'organisations') {
@@ -48,4 +59,5 @@
     const ring = { ...(value as QuotaRing), version: entry.revision };
     setOrDelete(view.rings, name as DataCentreId, ring, deleted);
   }
+  return true;
 }
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -34,6 +34,8 @@
   membershipRef.current = membership;
   const configuration = createConfigurationReplica({
     objectApi: ports.objectApi,
+    network,
+    membership,
     telemetry,
     unconfirmedKeysMs: settings.limits.unconfirmedKeysMs,
   });
--- a/packages/peers/src/data-centre-ages.ts
+++ b/packages/peers/src/data-centre-ages.ts
@@ -8,7 +8,10 @@
 /** A data centre counts as unreachable after this time without a sign of life. */
 export const DATA_CENTRE_TIMEOUT_MS = 15_000;
 
-/** Ages travel in tenths of a second, rounded up, so that passing them on never makes them younger. */
+/**
+ * Ages travel in tenths of a second, rounded up past the next one. The receiver subtracts the age on
+ * arrival, so without this margin the delay of each message would make a sign of life younger.
+ */
 const AGE_UNIT_MS = 100;
 
 /** Older signs of life are not passed on, which keeps messages small in long partitions. */
@@ -39,7 +42,7 @@
       const now = monotonicMs();
       const recent = [...heardAt].filter(([, at]) => now - at <= MAX_SENT_AGE_MS);
       return Object.fromEntries(
-        recent.map(([dc, at]) => [dc, Math.ceil((now - at) / AGE_UNIT_MS)]),
+        recent.map(([dc, at]) => [dc, Math.ceil((now - at) / AGE_UNIT_MS) + 1]),
       );
     },
     read: (ages) => {
--- a/packages/peers/test/fleet.ts
+++ b/packages/peers/test/fleet.ts
@@ -40,7 +40,11 @@
   stop(): Promise<void>;
 }
 
-export function createTestFleet(seed = 1): TestFleet {
+/** `onCreate` adds modules to a node before it starts. */
+export function createTestFleet(
+  seed = 1,
+  onCreate: (node: TestNode) => void = () => {},
+): TestFleet {
   const random = createRandom(seed);
   const hub = createMemoryHub(random);
   const vmList = createTestVmList();
@@ -76,6 +80,7 @@
       });
       const node = { self, network, membership, telemetry };
       nodes.set(self.vm, node);
+      onCreate(node);
       await network.start();
       const started = membership.start();
       await vi.advanceTimersByTimeAsync(20);
