Compare member tables per data centre and bound the time they may differ

Cause: a full exchange waited until a table had not changed for 4 s. 342 instances (6 data centres) started at once in one process did not all know each other after 60 s.

Change: a node takes over a peer's table when all tables of that peer's data centre have differed for 5 s, at most every 10 s. A first version without the distinction by data centre failed the partition test, because the VMs of one data centre agreed among each other on an outdated state.

--- a/packages/peers/src/member-table.ts
+++ b/packages/peers/src/member-table.ts
@@ -20,8 +20,6 @@
   /** Adds VMs of the platform's list and forgets members that are long dead. */
   applyList(vms: readonly ListedVm[]): void;
   isListed(vm: VmId): boolean;
-  /** Monotonic time of the last change. */
-  lastChangeMs(): number;
   /** Hash of the members of a data centre that are not dead. */
   digest(dataCentre: DataCentreId): number;
   dataCentres(): readonly DataCentreId[];
@@ -45,7 +43,6 @@
   const diedAt = new Map<VmId, number>();
   const listeners = new Set<(member: Member) => void>();
   let listed: ReadonlySet<VmId> = new Set();
-  let lastChange = monotonicMs();
 
   const listLive = (dataCentre: DataCentreId): readonly VmId[] =>
     [...members.values()]
@@ -74,8 +71,7 @@
       () => `VM ${report.vm} from ${known?.incarnation} to ${report.incarnation}`,
     );
     members.set(report.vm, report);
-    lastChange = monotonicMs();
-    if (report.state === 'dead') diedAt.set(report.vm, lastChange);
+    if (report.state === 'dead') diedAt.set(report.vm, monotonicMs());
     else diedAt.delete(report.vm);
     announce(report);
     return true;
@@ -110,7 +106,6 @@
       forgetDead();
     },
     isListed: (vm) => listed.has(vm),
-    lastChangeMs: () => lastChange,
     digest: (dataCentre) =>
       [...members.values()]
         .filter((member) => member.dataCentre === dataCentre)
--- a/packages/peers/src/membership.ts
+++ b/packages/peers/src/membership.ts
@@ -79,7 +79,7 @@
     clock,
     payloads,
     onReport,
-    onDifference: (from) => tableSync.syncWhenQuiet(from),
+    onCompared: tableSync.compare,
   });
   const prober = createProber({
     network,
--- a/packages/peers/src/probe-messages.ts
+++ b/packages/peers/src/probe-messages.ts
@@ -43,8 +43,8 @@
   readonly payloads: readonly ProbePayload[];
   /** Called with every report about another VM or this one. */
   readonly onReport: (report: Member, from: PeerIdentity) => void;
-  /** Called when the sender's table differs from the own one. */
-  readonly onDifference: (from: PeerIdentity) => void;
+  /** Called with whether the sender's table equals the own one. */
+  readonly onCompared: (from: PeerIdentity, areEqual: boolean) => void;
 }
 
 export interface ProbeMessages {
@@ -107,7 +107,7 @@
         const value = message.payloads[payload.name];
         if (value !== undefined) payload.receive(value, from);
       }
-      if (message.digest !== digestTable(table)) options.onDifference(from);
+      options.onCompared(from, message.digest === digestTable(table));
     },
   };
 }
--- a/packages/peers/src/table-sync.ts
+++ b/packages/peers/src/table-sync.ts
@@ -15,16 +15,19 @@
 /** Bounds the traffic of full exchanges; one data centre of 57 VMs takes about 4 KB. */
 const SYNC_INTERVAL_MS = 10_000;
 
-/** Updates spread within a few probe intervals; tables that differ before that are normal. */
-const QUIET_TIME_MS = 4_000;
+/** Updates spread within a few probe intervals; tables that differ for less time are normal. */
+const MAX_DIFFERENCE_MS = 5_000;
 
 type Digests = Readonly<Record<string, number>>;
 
 export interface TableSync {
   /** Takes over the members of a peer in data centres where the tables differ. */
   sync(from: PeerIdentity): Promise<boolean>;
-  /** As `sync`, when tables have been quiet and the last exchange is long enough ago. */
-  syncWhenQuiet(from: PeerIdentity): void;
+  /**
+   * Notes whether the tables were equal when a peer was heard, and takes over that of the peer when
+   * no table of its data centre has been equal for a while.
+   */
+  compare(from: PeerIdentity, areEqual: boolean): void;
 }
 
 export interface TableSyncOptions {
@@ -38,6 +41,8 @@
 export function createTableSync(options: TableSyncOptions): TableSync {
   const { network, table, metrics } = options;
   let lastSync = -Infinity;
+  // Kept by data centre: the VMs of one may agree among each other and differ from all of another.
+  const differentSince = new Map<DataCentreId, number>();
 
   const digestAll = (): Digests =>
     Object.fromEntries(table.dataCentres().map((dc) => [dc, table.digest(dc)]));
@@ -84,9 +89,12 @@
 
   return {
     sync,
-    syncWhenQuiet: (from) => {
+    compare: (from, areEqual) => {
       const now = monotonicMs();
-      if (now - lastSync < SYNC_INTERVAL_MS || now - table.lastChangeMs() < QUIET_TIME_MS) return;
+      const since = areEqual ? now : (differentSince.get(from.dataCentre) ?? now);
+      if (areEqual) differentSince.delete(from.dataCentre);
+      else differentSince.set(from.dataCentre, since);
+      if (now - since < MAX_DIFFERENCE_MS || now - lastSync < SYNC_INTERVAL_MS) return;
       void sync(from);
     },
   };
