Test cells in an in-memory fleet

The scheduler had no tests. Flat tests bring about one failure each (lost replies, dead and paused owners, drains, cold starts, restarts); a randomised test runs any order of them with seed 1 and checks invariants and that nothing stays reserved.

--- /dev/null
+++ b/packages/scheduler/test/cells.test.ts
@@ -0,0 +1,383 @@
+import { dataCentreId, upstreamId, vmId } from '@hibiscusbank/core';
+import { partitionPool } from '@hibiscusbank/scheduler';
+import type { Grant } from '@hibiscusbank/scheduler';
+import { afterEach, beforeEach, expect, test, vi } from 'vitest';
+import {
+  advance,
+  createFleet,
+  modelPool,
+  pool,
+  request,
+  settle,
+  take,
+  takeError,
+  upstream,
+} from './support.js';
+import type { Fleet } from './support.js';
+
+beforeEach(() => vi.useFakeTimers());
+afterEach(() => vi.useRealTimers());
+
+const plainPool = (count: number, extra = {}) =>
+  pool(Array.from({ length: count }, (_, i) => upstream(`s${i}`, 'plain', 'a', extra)));
+
+const serverOf = (grant: Grant): string =>
+  grant.target.kind === 'plain' ? grant.target.server.upstream : grant.target.decode.upstream;
+
+async function placeMany(fleet: Fleet, count: number, vm = 'a1', extra = {}): Promise<Grant[]> {
+  const req = { promptTokens: 0, ...extra };
+  const results = Array.from({ length: count }, () => fleet.place(vm, request(req)));
+  return (await settle(Promise.all(results))).map(take);
+}
+
+/** Serves requests until slow start is over. */
+async function warm(fleet: Fleet, rounds = 12, extra = {}): Promise<void> {
+  for (let i = 0; i < rounds; i += 1) {
+    for (const grant of await placeMany(fleet, 2, 'a1', extra)) {
+      fleet.node('a1').scheduler.release(grant, { outcome: 'completed', latencyMs: 10 });
+    }
+    await advance(300);
+  }
+}
+
+// Guards against cells that exceed the bound or hold only one role.
+test('cells hold at most 32 upstreams and a proportional mix of roles', () => {
+  const upstreams = Array.from({ length: 100 }, (_, i) =>
+    upstream(`u${i}`, i < 40 ? 'prefill' : 'decode', 'a'),
+  );
+  const cells = partitionPool(pool(upstreams));
+  expect(cells).toHaveLength(4);
+  for (const cell of cells) {
+    expect(cell.upstreams.length).toBeLessThanOrEqual(32);
+    expect(cell.upstreams.filter((u) => u.role === 'prefill')).toHaveLength(10);
+  }
+});
+
+// Guards against two grants for one request after its first reply was lost.
+test('a repeated placement after a lost reply gets the same grant', async () => {
+  const fleet = await createFleet(['a1', 'a2'], plainPool(2));
+  const owner = fleet.owner();
+  const client = owner.vm === 'a1' ? 'a2' : 'a1';
+  let lost = 0;
+  fleet.lose = ({ method, isReply }) => {
+    if (method !== 'cell.place' || !isReply || lost > 0) return false;
+    lost += 1;
+    return true;
+  };
+  const grant = take(await settle(fleet.place(client, request({ promptTokens: 0 }))));
+  expect(lost).toBe(1);
+  expect(owner.scheduler.ownedCells()[0]?.freeSlots).toBe(7);
+  expect(owner.scheduler.isHeld(grant.requestId, 1)).toBe(true);
+});
+
+// Guards against slots that stay reserved for a node that never received its grant.
+test('a grant that nobody confirms expires after 2 s', async () => {
+  const fleet = await createFleet(['a1', 'a2'], plainPool(1));
+  const owner = fleet.owner();
+  const client = owner.vm === 'a1' ? 'a2' : 'a1';
+  fleet.lose = ({ isReply, method }) => isReply && method === 'cell.place';
+  const abort = new AbortController();
+  void fleet.place(client, request({ promptTokens: 0 }), abort.signal);
+  await advance(20);
+  expect(owner.scheduler.ownedCells()[0]?.freeSlots).toBe(3);
+  fleet.lose = () => true;
+  abort.abort();
+  await advance(2_300);
+  expect(owner.scheduler.ownedCells()[0]?.freeSlots).toBe(4);
+});
+
+// Guards against a confirmation that is never sent: the slot would be given away.
+test('a live grant stays counted beyond the confirmation limit', async () => {
+  const fleet = await createFleet(['a1', 'a2'], plainPool(1));
+  await placeMany(fleet, 2);
+  await placeMany(fleet, 2, 'a2');
+  await advance(10_000);
+  expect(fleet.owner().scheduler.ownedCells()[0]?.freeSlots).toBe(0);
+});
+
+// Guards against a slot that leaks when its release meets a network failure.
+test('a release is repeated until the owner has it', async () => {
+  const fleet = await createFleet(['a1', 'a2'], plainPool(1));
+  const owner = fleet.owner();
+  const client = owner.vm === 'a1' ? 'a2' : 'a1';
+  const [grant] = await placeMany(fleet, 1, client);
+  // Once confirmed, only its release ends the grant.
+  await advance(1_000);
+  fleet.lose = () => true;
+  fleet.node(client).scheduler.release(grant!, { outcome: 'completed', latencyMs: 10 });
+  await advance(3_000);
+  expect(owner.scheduler.ownedCells()[0]?.freeSlots).toBe(3);
+  fleet.lose = () => false;
+  await advance(6_000);
+  expect(owner.scheduler.ownedCells()[0]?.freeSlots).toBe(4);
+});
+
+// Guards against queue entries of callers that have left.
+test('a cancelled waiting request leaves the queue of its owner', async () => {
+  const fleet = await createFleet(['a1', 'a2'], plainPool(1));
+  await placeMany(fleet, 4);
+  const abort = new AbortController();
+  const waiting = fleet.place('a2', request({ promptTokens: 0 }), abort.signal);
+  await advance(20);
+  expect(fleet.owner().scheduler.ownedCells()[0]?.queued).toBe(1);
+  abort.abort();
+  await advance(20);
+  expect(fleet.owner().scheduler.ownedCells()[0]?.queued).toBe(0);
+  expect(takeError(await waiting).kind).toBe('cancelled');
+});
+
+// Guards against an owner that starts with empty counts after a takeover.
+test('the next owner counts the grants of the one that died', async () => {
+  const fleet = await createFleet(['a1', 'a2', 'a3'], plainPool(1));
+  const owner = fleet.owner().vm;
+  const client = ['a1', 'a2', 'a3'].find((vm) => vm !== owner) ?? '';
+  await placeMany(fleet, 3, client);
+  await fleet.kill(owner);
+  fleet.setState(owner, 'dead');
+  await advance(1_100);
+  expect(fleet.owner().scheduler.ownedCells()[0]?.freeSlots).toBe(1);
+});
+
+// Guards against grants that are made before the live ones are known.
+test('a new owner grants nothing until all have answered or 1 s has passed', async () => {
+  const fleet = await createFleet(['a1', 'a2', 'a3'], plainPool(1));
+  const owner = fleet.owner().vm;
+  const [client = '', silent = ''] = ['a1', 'a2', 'a3'].filter((vm) => vm !== owner);
+  fleet.lose = ({ method, to, from }) =>
+    method === 'cell.collect' && (to === silent || from === silent);
+  await fleet.kill(owner);
+  fleet.setState(owner, 'dead');
+  const started = Date.now();
+  const placed = await settle(fleet.place(client, request({ promptTokens: 0 })));
+  expect(placed.isOk()).toBe(true);
+  expect(Date.now() - started).toBeGreaterThanOrEqual(1_000);
+  expect(Date.now() - started).toBeLessThan(2_000);
+});
+
+// Guards against an owner that grants right after its process was paused.
+test('a clock gap of over 1 s makes the owner collect again before it grants', async () => {
+  const fleet = await createFleet(['a1', 'a2'], plainPool(1));
+  const owner = fleet.owner();
+  const collected: string[] = [];
+  fleet.lose = ({ method, isReply, to }) => {
+    if (method === 'cell.collect' && !isReply) collected.push(to);
+    return false;
+  };
+  const realNow = performance.now.bind(performance);
+  const clock = vi.spyOn(performance, 'now').mockImplementation(() => realNow() + 1_500);
+  const placed = fleet.place(owner.vm, request({ promptTokens: 0 }));
+  await advance(0);
+  expect(owner.scheduler.ownedCells()[0]?.freeSlots).toBe(4);
+  expect((await settle(placed)).isOk()).toBe(true);
+  expect(collected.length).toBeGreaterThan(0);
+  clock.mockRestore();
+});
+
+// Guards against grants of an owner that has lost its cell without noticing.
+test('a grant with an older epoch than one seen is rejected', async () => {
+  const fleet = await createFleet(['a1'], plainPool(1));
+  fleet.leases.set(vmId('a1'), 7);
+  await placeMany(fleet, 1);
+  fleet.leases.set(vmId('a1'), 3);
+  const placed = await settle(fleet.place('a1', request({ patienceMs: 1_000, promptTokens: 0 })));
+  expect(placed.isErr()).toBe(true);
+  await advance(3_000);
+  expect(fleet.owner().scheduler.ownedCells()[0]?.freeSlots).toBe(3);
+});
+
+// Guards against work for a data centre that was taken out, and against lost queue entries.
+test('waiting requests go to another data centre when theirs goes out of service', async () => {
+  const fleet = await createFleet(
+    ['a1', 'b1'],
+    pool([upstream('sa', 'plain', 'a', { capacity: 1 }), upstream('sb', 'plain', 'b')]),
+  );
+  await placeMany(fleet, 1);
+  fleet.lose = ({ to, from }) => to === 'b1' && from === 'a1';
+  const waiting = fleet.place('a1', request({ firstTokenTargetMs: 60_000, promptTokens: 0 }));
+  await advance(100);
+  fleet.lose = () => false;
+  fleet.setOut('a', true);
+  expect(serverOf(take(await settle(waiting)))).toBe('sb');
+});
+
+// Guards against waiting in a full cell while another data centre has room.
+test('a request overflows when its own data centre cannot meet the first-token target', async () => {
+  const fleet = await createFleet(
+    ['a1', 'b1'],
+    pool([upstream('sa', 'plain', 'a', { capacity: 1 }), upstream('sb', 'plain', 'b')]),
+  );
+  await placeMany(fleet, 1);
+  const grant = take(
+    await settle(fleet.place('a1', request({ firstTokenTargetMs: 20, promptTokens: 0 }))),
+  );
+  expect(grant.dataCentre).toBe(dataCentreId('b'));
+});
+
+// Guards against requests that fail because their own data centre lacks a role.
+test('a data centre with one role only places through another one', async () => {
+  const split = pool([
+    upstream('pa', 'prefill', 'a'),
+    upstream('pb', 'prefill', 'b'),
+    upstream('db', 'decode', 'b'),
+  ]);
+  const fleet = await createFleet(['a1', 'b1'], split);
+  const grant = take(await settle(fleet.place('a1', request())));
+  expect(grant.dataCentre).toBe(dataCentreId('b'));
+});
+
+// Guards against holds of dead nodes that outlive their requests.
+test('grants of a dead node are kept for resume, then passed on and dropped', async () => {
+  const fleet = await createFleet(['a1', 'a2'], plainPool(1));
+  const owner = fleet.owner();
+  const client = owner.vm === 'a1' ? 'a2' : 'a1';
+  const [kept, lost] = await placeMany(fleet, 2, client);
+  await advance(500);
+  await fleet.kill(client);
+  fleet.setState(client, 'dead');
+  await owner.scheduler.adopt(kept!.requestId, 1, upstreamId('s0'));
+  await advance(4_500);
+  expect(owner.scheduler.ownedCells()[0]?.freeSlots).toBe(2);
+  await advance(1_000);
+  expect(owner.abandoned.map((grant) => grant.id)).toEqual([lost!.id]);
+  expect(owner.scheduler.findGrant(kept!.requestId, 1)?.id).toBe(kept!.id);
+  expect(owner.scheduler.ownedCells()[0]?.freeSlots).toBe(3);
+});
+
+// Guards against a restart that is too quick for membership to notice.
+test('grants of a process that restarted are dropped without a death', async () => {
+  const fleet = await createFleet(['a1', 'a2'], plainPool(1));
+  const owner = fleet.owner();
+  const client = owner.vm === 'a1' ? 'a2' : 'a1';
+  await placeMany(fleet, 2, client);
+  await advance(500);
+  await fleet.kill(client);
+  await fleet.start(client);
+  await advance(30_000);
+  expect(owner.scheduler.ownedCells()[0]?.freeSlots).toBe(4);
+});
+
+// Guards against waiting requests that a leaving owner takes down with it.
+test('requests that wait at a leaving owner are placed by the next one', async () => {
+  const fleet = await createFleet(['a1', 'a2'], plainPool(1));
+  const owner = fleet.owner();
+  const client = owner.vm === 'a1' ? 'a2' : 'a1';
+  const grants = await placeMany(fleet, 4, client);
+  const waiting = fleet.place(client, request({ promptTokens: 0 }));
+  await advance(20);
+  fleet.setState(owner.vm, 'leaving');
+  await owner.scheduler.leave();
+  await advance(200);
+  expect(fleet.node(client).scheduler.ownedCells()[0]).toMatchObject({ freeSlots: 0, queued: 1 });
+  fleet.node(client).scheduler.release(grants[0]!, { outcome: 'completed', latencyMs: 10 });
+  expect((await settle(waiting)).isOk()).toBe(true);
+});
+
+// Guards against full load on a process that has just started.
+test('a cold upstream gets its cold limit, and its capacity after successes', async () => {
+  const fleet = await createFleet(['a1'], plainPool(1, { capacity: 8, coldLimit: 2 }));
+  expect(fleet.owner().scheduler.ownedCells()[0]?.slots).toBe(2);
+  await warm(fleet, 20);
+  expect(fleet.owner().scheduler.ownedCells()[0]?.slots).toBe(8);
+  const [grant] = await placeMany(fleet, 1);
+  fleet.node('a1').scheduler.release(grant!, { outcome: 'cold', upstream: upstreamId('s0') });
+  await advance(50);
+  expect(fleet.owner().scheduler.ownedCells()[0]?.slots).toBe(2);
+});
+
+// Guards against two owners that each use the whole cold limit.
+test('without the lease only the two named VMs use a cold upstream, half the limit each', async () => {
+  const fleet = await createFleet(['a1'], plainPool(1, { capacity: 8, coldLimit: 5 }));
+  fleet.leases.set(vmId('a1'), undefined);
+  expect(fleet.owner().scheduler.ownedCells()[0]?.slots).toBe(0);
+  fleet.coldShare.add(vmId('a1'));
+  expect(fleet.owner().scheduler.ownedCells()[0]?.slots).toBe(2);
+});
+
+// Guards against a slow start of warm upstreams at every change of owner.
+test('the next owner learns from the nodes that upstreams are warm', async () => {
+  const fleet = await createFleet(['a1', 'a2'], plainPool(1, { capacity: 8, coldLimit: 2 }));
+  await warm(fleet, 20);
+  await placeMany(fleet, 1);
+  if (fleet.owner().vm === 'a1') fleet.setState('a1', 'leaving');
+  else {
+    await fleet.kill('a2');
+    fleet.setState('a2', 'dead');
+  }
+  await advance(1_200);
+  expect(fleet.owner().scheduler.ownedCells()[0]?.slots).toBe(8);
+});
+
+// Guards against full load on caches that are cold after a return to service.
+test('an upstream that returns starts at half its capacity', async () => {
+  const fleet = await createFleet(['a1'], plainPool(1, { capacity: 8, coldLimit: 2 }));
+  await warm(fleet, 20);
+  fleet.setOut('s0', true);
+  fleet.setOut('s0', false);
+  expect(fleet.owner().scheduler.ownedCells()[0]?.slots).toBe(4);
+});
+
+// Guards against traffic to an upstream that refuses connections.
+test('a failing upstream is avoided and probed, but never all of them', async () => {
+  const fleet = await createFleet(['a1'], plainPool(3));
+  const { scheduler } = fleet.node('a1');
+  const fail = (grant: Grant): void =>
+    scheduler.release(grant, { outcome: 'failed', upstream: upstreamId(serverOf(grant)) });
+  const first = (await placeMany(fleet, 6)).filter((grant) => serverOf(grant) === 's0');
+  first.forEach(fail);
+  await advance(50);
+  const next = await placeMany(fleet, 3);
+  expect(next.map(serverOf)).not.toContain('s0');
+  next.forEach(fail);
+  (await placeMany(fleet, 3)).forEach(fail);
+  await advance(10);
+  expect((await settle(fleet.place('a1', request({ promptTokens: 0 })))).isOk()).toBe(true);
+});
+
+// Guards against prefills whose result no decode engine can take.
+test('no prefill starts without a decode slot and its memory', async () => {
+  const fleet = await createFleet(['a1'], modelPool('a', { memoryBlocks: 2, coldLimit: 4 }));
+  const big = { promptTokens: 1_500, maxTokens: 400, patienceMs: 1_500 };
+  const results = [1, 2, 3].map(() => fleet.place('a1', request(big)));
+  const settled = await settle(Promise.all(results));
+  expect(settled.filter((result) => result.isOk())).toHaveLength(2);
+});
+
+// Guards against an affinity that piles requests on one engine.
+test('a cached prefix wins unless the backlog exceeds the saving', async () => {
+  const fleet = await createFleet(['a1'], modelPool());
+  fleet.findCachedTokens = (id) => (id === 'p2' ? 400 : 0);
+  const place = async (): Promise<Grant> =>
+    take(await settle(fleet.place('a1', request({ promptTokens: 1_000, prefixHashes: [1] }))));
+  const prefillOf = (grant: Grant) =>
+    grant.target.kind === 'model' ? grant.target.prefill.upstream : undefined;
+  expect(prefillOf(await place())).toBe('p2');
+  expect(prefillOf(await place())).toBe('p1');
+});
+
+// Guards against prefill work for callers that will be gone.
+test('a request that cannot be served within its patience is refused at once', async () => {
+  const fleet = await createFleet(['a1'], modelPool());
+  const started = Date.now();
+  const result = await settle(
+    fleet.place('a1', request({ promptTokens: 20_000, patienceMs: 500 })),
+  );
+  const error = takeError(result);
+  expect(error.kind).toBe('no_capacity');
+  expect(error.effect).toBe('not_run');
+  expect(error.retryAfterMs).toBeGreaterThanOrEqual(1_000);
+  expect(Date.now() - started).toBeLessThan(100);
+});
+
+// Guards against explanations that leave out the reason.
+test('explain names the owner, queues and why an upstream is not used', async () => {
+  const fleet = await createFleet(['a1'], plainPool(2, { capacity: 1 }));
+  await placeMany(fleet, 1);
+  fleet.setOut('s1', true);
+  void fleet.place('a1', request({ org: 'crew', promptTokens: 0 }));
+  await advance(20);
+  const lines = fleet.node('a1').scheduler.explain(request().pool).join('\n');
+  expect(lines).toContain('owner a1');
+  expect(lines).toContain('s1 plain');
+  expect(lines).toContain('not used: out of service');
+  expect(lines).toMatch(/queue crew: 1/);
+});
--- /dev/null
+++ b/packages/scheduler/test/random-events.test.ts
@@ -0,0 +1,178 @@
+import { createRandom } from '@hibiscusbank/core';
+import type { RouterError } from '@hibiscusbank/core';
+import type { Grant, GrantOutcome } from '@hibiscusbank/scheduler';
+import fc from 'fast-check';
+import type { Result } from 'neverthrow';
+import { afterEach, beforeEach, expect, test, vi } from 'vitest';
+import { advance, createFleet, pool, request, upstream } from './support.js';
+import type { Fleet } from './support.js';
+
+beforeEach(() => vi.useFakeTimers());
+afterEach(() => vi.useRealTimers());
+
+const VMS = ['a1', 'a2', 'a3', 'b1', 'b2'];
+const UPSTREAMS = ['a', 'b'].flatMap((dc) => [
+  upstream(`${dc}-p1`, 'prefill', dc, { coldLimit: 2 }),
+  upstream(`${dc}-p2`, 'prefill', dc, { coldLimit: 2 }),
+  upstream(`${dc}-d1`, 'decode', dc, { coldLimit: 2, memoryBlocks: 8 }),
+  upstream(`${dc}-d2`, 'decode', dc, { coldLimit: 2, memoryBlocks: 8 }),
+  upstream(`${dc}-x`, 'both', dc, { coldLimit: 1, capacity: 2, memoryBlocks: 8 }),
+]);
+const NAMES = [...UPSTREAMS.map((u) => u.id as string), 'a', 'b', 'a1', 'b1'];
+
+const index = fc.nat(1_000);
+const events = fc.oneof(
+  { weight: 8, arbitrary: fc.record({ kind: fc.constant('place'), vm: index, size: index }) },
+  { weight: 6, arbitrary: fc.record({ kind: fc.constant('finish'), vm: index, size: index }) },
+  { weight: 6, arbitrary: fc.record({ kind: fc.constant('advance'), vm: index, size: index }) },
+  { weight: 1, arbitrary: fc.record({ kind: fc.constant('cancel'), vm: index, size: index }) },
+  { weight: 1, arbitrary: fc.record({ kind: fc.constant('drain'), vm: index, size: index }) },
+  { weight: 1, arbitrary: fc.record({ kind: fc.constant('crash'), vm: index, size: index }) },
+  { weight: 1, arbitrary: fc.record({ kind: fc.constant('lease'), vm: index, size: index }) },
+  { weight: 1, arbitrary: fc.record({ kind: fc.constant('loss'), vm: index, size: index }) },
+  { weight: 1, arbitrary: fc.record({ kind: fc.constant('table'), vm: index, size: index }) },
+);
+
+interface Live {
+  readonly vm: string;
+  readonly grant: Grant;
+}
+
+const OUTCOMES: GrantOutcome[] = [
+  'completed',
+  'completed',
+  'failed',
+  'cold',
+  'cancelled',
+  'unused',
+];
+
+class World {
+  readonly live: Live[] = [];
+
+  readonly waiting = new Set<AbortController>();
+
+  private readonly random = createRandom(7);
+
+  private readonly out = new Set<string>();
+
+  private readonly down = new Set<string>();
+
+  constructor(readonly fleet: Fleet) {}
+
+  place(vm: number, size: number): void {
+    const name = VMS[vm % VMS.length] ?? 'a1';
+    if (this.down.has(name)) return;
+    const abort = new AbortController();
+    this.waiting.add(abort);
+    const req = request({
+      org: `org${size % 4}`,
+      promptTokens: 100 + (size % 3) * 1_500,
+      urgency: size % 2 === 0 ? 'urgent' : 'patient',
+      patienceMs: 500 + size * 20,
+    });
+    const onPlaced = (result: Result<Grant, RouterError>): void => {
+      this.waiting.delete(abort);
+      if (result.isOk()) this.live.push({ vm: name, grant: result.value });
+    };
+    void this.fleet.place(name, req, abort.signal).then(onPlaced);
+  }
+
+  finish(position: number, size: number): void {
+    const [entry] = this.live.splice(position % Math.max(1, this.live.length), 1);
+    if (entry === undefined || this.down.has(entry.vm)) return;
+    const { scheduler } = this.fleet.node(entry.vm);
+    const report = { prefillMs: 20, prefilledTokens: 200, cachedTokens: 0 };
+    scheduler.finishPrefill(entry.grant, { outcome: 'completed', ...report });
+    const outcome = OUTCOMES[size % OUTCOMES.length] ?? 'completed';
+    scheduler.release(entry.grant, { outcome, ...report, decodeMs: 500, decodedTokens: 50 });
+  }
+
+  drain(size: number): void {
+    const name = NAMES[size % NAMES.length] ?? 'a';
+    if (this.out.has(name)) this.out.delete(name);
+    else this.out.add(name);
+    this.fleet.setOut(name, this.out.has(name));
+  }
+
+  async crash(vm: number): Promise<void> {
+    const name = VMS[vm % VMS.length] ?? 'a1';
+    if (this.down.has(name)) {
+      this.down.delete(name);
+      await this.fleet.start(name);
+      return;
+    }
+    this.down.add(name);
+    await this.fleet.kill(name);
+    await advance(vm % 2_000);
+    this.fleet.setState(name, 'dead');
+    for (let i = this.live.length - 1; i >= 0; i -= 1) {
+      if (this.live[i]?.vm === name) this.live.splice(i, 1);
+    }
+  }
+
+  setLosses(share: number): void {
+    this.fleet.lose = () => this.random.next() < share;
+  }
+
+  changeTable(size: number): void {
+    const capacity = 2 + (size % 4);
+    this.fleet.setPool(pool(UPSTREAMS.map((u, i) => (i === size % 10 ? { ...u, capacity } : u))));
+  }
+
+  async run(kind: string, vm: number, size: number): Promise<void> {
+    // Bursts fill slots, memory and queues, so that their limits are reached.
+    if (kind === 'place') for (let i = 0; i < 6; i += 1) this.place(vm, size + i);
+    if (kind === 'finish') this.finish(vm, size);
+    if (kind === 'advance') await advance(size);
+    if (kind === 'cancel') [...this.waiting][size % Math.max(1, this.waiting.size)]?.abort();
+    if (kind === 'drain') this.drain(size);
+    if (kind === 'crash') await this.crash(vm);
+    if (kind === 'loss') this.setLosses(size % 2 === 0 ? 0.3 : 0);
+    if (kind === 'table') this.changeTable(size);
+    if (kind === 'lease') {
+      const node = this.fleet.nodes()[vm % Math.max(1, this.fleet.nodes().length)];
+      if (node !== undefined) this.fleet.leases.set(node.vm, size % 2 === 0 ? undefined : size);
+    }
+  }
+
+  /** Repairs everything, ends all requests and waits until holds of lost nodes have expired. */
+  async end(): Promise<void> {
+    this.setLosses(0);
+    for (const name of this.out) this.fleet.setOut(name, false);
+    for (const name of this.down) await this.fleet.start(name);
+    this.down.clear();
+    for (const abort of this.waiting) abort.abort();
+    await advance(3_000);
+    while (this.live.length > 0) this.finish(0, 0);
+    await advance(60_000);
+  }
+
+  busyUpstreams(): string[] {
+    return this.fleet
+      .nodes()
+      .flatMap(({ scheduler }) => scheduler.explain(UPSTREAMS[0]!.pool))
+      .filter((line) => /queue |slots [^0]|blocks [^0]|backlog [^0]/.test(line));
+  }
+}
+
+// Guards against leaked slots, queue entries and broken limits under any order of faults.
+test('any order of events keeps the invariants and leaves nothing behind', async () => {
+  await fc.assert(
+    fc.asyncProperty(fc.array(events, { minLength: 20, maxLength: 120 }), async (steps) => {
+      const fleet = await createFleet(VMS, pool(UPSTREAMS));
+      const world = new World(fleet);
+      for (const { kind, vm, size } of steps) await world.run(kind, vm, size);
+      await world.end();
+      expect(fleet.violations()).toEqual([]);
+      expect(world.waiting.size).toBe(0);
+      expect(world.busyUpstreams()).toEqual([]);
+      for (const { vm } of fleet.nodes()) await fleet.kill(vm);
+    }),
+    {
+      seed: Number(process.env.SCHEDULER_SEED ?? 1),
+      numRuns: Number(process.env.SCHEDULER_RUNS ?? 15),
+      endOnFailure: true,
+    },
+  );
+}, 120_000);
--- /dev/null
+++ b/packages/scheduler/test/support.ts
@@ -0,0 +1,334 @@
+/** An in-memory fleet of schedulers with controllable network, membership, tables and leases. */
+import {
+  createError,
+  createTelemetry,
+  dataCentreId,
+  organisationId,
+  poolId,
+  requestId,
+  toRouterError,
+  upstreamId,
+  vmId,
+} from '@hibiscusbank/core';
+import type { RouterError, Telemetry, VmId } from '@hibiscusbank/core';
+import type { ConfigurationEntry, ConfigurationReplica } from '@hibiscusbank/configuration';
+import type { Member, Membership, PeerHandler, PeerNetwork } from '@hibiscusbank/peers';
+import { createScheduler } from '@hibiscusbank/scheduler';
+import type { CellScheduler, Grant, PlacementRequest } from '@hibiscusbank/scheduler';
+import type { PoolEntry, UpstreamEntry, UpstreamRole } from '@hibiscusbank/settings';
+import { ResultAsync } from 'neverthrow';
+import type { Result } from 'neverthrow';
+import { vi } from 'vitest';
+
+const LATENCY_MS = 1;
+
+export function upstream(
+  id: string,
+  role: UpstreamRole,
+  dataCentre: string,
+  extra: Partial<UpstreamEntry> = {},
+): UpstreamEntry {
+  return {
+    id: upstreamId(id),
+    pool: poolId('pool'),
+    role,
+    dataCentre: dataCentreId(dataCentre),
+    address: `http://${id}`,
+    capacity: 4,
+    memoryBlocks: role === 'plain' ? 0 : 100,
+    coldLimit: 4,
+    coldStepMs: 1_000,
+    linkBytesPerMs: 1_000_000,
+    checksOrders: true,
+    ...extra,
+  };
+}
+
+export function pool(
+  upstreams: readonly UpstreamEntry[],
+  extra: Partial<PoolEntry> = {},
+): PoolEntry {
+  const isPlain = upstreams.every((u) => u.role === 'plain');
+  return {
+    id: poolId('pool'),
+    kind: isPlain ? 'plain' : 'model',
+    model: isPlain ? undefined : 'm',
+    version: undefined,
+    adapters: [],
+    blockTokens: 1_000,
+    kvBytesPerToken: 100,
+    prefillTokensPerMs: 10,
+    decodeMsPerToken: 10,
+    balanceRoles: false,
+    upstreams,
+    ...extra,
+  };
+}
+
+export const modelPool = (dataCentre = 'a', extra: Partial<UpstreamEntry> = {}): PoolEntry =>
+  pool([
+    upstream('p1', 'prefill', dataCentre, extra),
+    upstream('p2', 'prefill', dataCentre, extra),
+    upstream('d1', 'decode', dataCentre, extra),
+    upstream('d2', 'decode', dataCentre, extra),
+  ]);
+
+let nextRequest = 1;
+
+export function request(
+  extra: Partial<PlacementRequest> & { org?: string } = {},
+): PlacementRequest {
+  const { org = 'org', ...rest } = extra;
+  nextRequest += 1;
+  return {
+    requestId: requestId(`r${nextRequest}`),
+    attempt: 1,
+    organisation: organisationId(org),
+    pool: poolId('pool'),
+    promptTokens: 500,
+    expectedTokens: 100,
+    maxTokens: 100,
+    prefixHashes: [],
+    urgency: 'urgent',
+    firstTokenTargetMs: 1_000,
+    patienceMs: 10_000,
+    timeLimitMs: 60_000,
+    exclude: [],
+    ...rest,
+  };
+}
+
+export interface Message {
+  readonly from: VmId;
+  readonly to: VmId;
+  readonly method: string;
+  readonly isReply: boolean;
+}
+
+export interface FleetNode {
+  readonly vm: VmId;
+  readonly scheduler: CellScheduler;
+  readonly telemetry: Telemetry;
+  readonly abandoned: Grant[];
+}
+
+export interface Fleet {
+  node(vm: string): FleetNode;
+  nodes(): FleetNode[];
+  owner(): FleetNode;
+  place(
+    vm: string,
+    req: PlacementRequest,
+    signal?: AbortSignal,
+  ): Promise<Result<Grant, RouterError>>;
+  setPool(entry: PoolEntry): void;
+  setOut(name: string, out: boolean): void;
+  setState(vm: string, state: Member['state']): void;
+  /** Stops a VM without a word to the others; membership notices when `setState` says so. */
+  kill(vm: string): Promise<void>;
+  start(vm: string): Promise<void>;
+  violations(): string[];
+  /** Messages that this function returns true for are lost. */
+  lose: (message: Message) => boolean;
+  leases: Map<VmId, number | undefined>;
+  coldShare: Set<VmId>;
+  findCachedTokens: (upstream: string) => number;
+}
+
+interface Wire {
+  readonly handlers: Map<VmId, Map<string, PeerHandler>>;
+  lose: (message: Message) => boolean;
+}
+
+function createNetwork(vm: VmId, dataCentre: string, wire: Wire): PeerNetwork {
+  const self = { vm, dataCentre: dataCentreId(dataCentre) };
+  const own = new Map<string, PeerHandler>();
+  wire.handlers.set(vm, own);
+  const send = <T>(to: VmId, method: string, params: unknown, timeoutMs: number): Promise<T> =>
+    new Promise((resolve, reject) => {
+      const timer = setTimeout(() => reject(createError('timeout', 'no reply')), timeoutMs);
+      const message = { from: vm, to, method };
+      const finish = (reply: () => void): void => {
+        setTimeout(() => {
+          if (wire.lose({ ...message, isReply: true })) return;
+          clearTimeout(timer);
+          reply();
+        }, LATENCY_MS);
+      };
+      setTimeout(() => {
+        if (wire.lose({ ...message, isReply: false })) return;
+        const handler = wire.handlers.get(to)?.get(method);
+        if (handler === undefined) {
+          finish(() => reject(createError('peer_unavailable', `${to} is down`)));
+          return;
+        }
+        handler(structuredClone(params), self).then(
+          (value) => finish(() => resolve(structuredClone(value) as T)),
+          (thrown: unknown) => finish(() => reject(toRouterError(thrown))),
+        );
+      }, LATENCY_MS);
+    });
+  return {
+    self,
+    call: <T>(to: VmId, method: string, params: unknown, { timeoutMs }: { timeoutMs: number }) =>
+      ResultAsync.fromPromise(send<T>(to, method, params, timeoutMs), (thrown) =>
+        toRouterError(thrown),
+      ),
+    handle: (method, handler) => {
+      own.set(method, handler);
+    },
+    start: async () => {},
+    stop: async () => {},
+  };
+}
+
+/** Starts one scheduler per VM; VM names begin with their data centre, as in `a1`. */
+export async function createFleet(vms: readonly string[], entry: PoolEntry): Promise<Fleet> {
+  const wire: Wire = { handlers: new Map(), lose: () => false };
+  const members = new Map<VmId, Member>();
+  const memberListeners = new Map<VmId, Set<(member: Member) => void>>();
+  const tableListeners = new Map<VmId, Set<(change: ConfigurationEntry) => void>>();
+  const out = new Set<string>();
+  const nodes = new Map<string, FleetNode>();
+  const past: Telemetry[] = [];
+  const leases = new Map<VmId, number | undefined>();
+  const coldShare = new Set<VmId>();
+  let tables = new Map([[entry.id, entry]]);
+
+  const setState = (name: string, state: Member['state']): void => {
+    const vm = vmId(name);
+    const member = { vm, dataCentre: dataCentreId(name.charAt(0)), peerAddress: '', state };
+    members.set(vm, member);
+    for (const listeners of memberListeners.values()) {
+      for (const listener of listeners) listener(member);
+    }
+  };
+  const announce = (): void => {
+    const change = { key: 'config/pools/pool', revision: 1, value: undefined, deleted: false };
+    for (const listeners of tableListeners.values()) {
+      for (const listener of listeners) listener(change);
+    }
+  };
+  const subscribe = <T>(all: Map<VmId, Set<T>>, vm: VmId, listener: T): (() => void) => {
+    const own = all.get(vm) ?? new Set();
+    all.set(vm, own.add(listener));
+    return () => own.delete(listener);
+  };
+  const createMembershipOf = (vm: VmId): Membership => ({
+    self: { vm, dataCentre: dataCentreId(vm.charAt(0)) },
+    listLive: (dataCentre) =>
+      [...members.values()]
+        .filter((m) => m.dataCentre === dataCentre && (m.state === 'live' || m.state === 'suspect'))
+        .map((m) => m.vm)
+        .sort(),
+    members: () => [...members.values()],
+    find: (name) => members.get(name),
+    listedVms: () => [...members.keys()],
+    lastContactMs: () => performance.now(),
+    onChange: (listener) => subscribe(memberListeners, vm, listener),
+    start: async () => {},
+    leave: async () => setState(vm, 'leaving'),
+    stop: async () => {},
+  });
+  const createConfigurationOf = (vm: VmId): ConfigurationReplica =>
+    ({
+      pools: () => tables,
+      isDataCentreOut: (dc) => out.has(dc),
+      isVmOut: (name) => out.has(name),
+      isUpstreamOut: (id, dc) => out.has(id) || out.has(dc),
+      onChange: (listener) => subscribe(tableListeners, vm, listener),
+    }) satisfies Partial<ConfigurationReplica> as unknown as ConfigurationReplica;
+
+  const fleet: Fleet = {
+    node: (vm) => {
+      const found = nodes.get(vm);
+      if (found === undefined) throw new Error(`VM ${vm} does not run`);
+      return found;
+    },
+    nodes: () => [...nodes.values()],
+    owner: () => {
+      const found = [...nodes.values()].find((n) => n.scheduler.ownedCells().length > 0);
+      if (found === undefined) throw new Error('no VM owns a cell');
+      return found;
+    },
+    place: async (vm, req, signal = new AbortController().signal) =>
+      fleet.node(vm).scheduler.place(req, signal),
+    setPool: (next) => {
+      tables = new Map([[next.id, next]]);
+      announce();
+    },
+    setOut: (name, isOut) => {
+      if (isOut) out.add(name);
+      else out.delete(name);
+      announce();
+    },
+    setState,
+    kill: async (name) => {
+      const node = fleet.node(name);
+      wire.handlers.delete(node.vm);
+      memberListeners.delete(node.vm);
+      tableListeners.delete(node.vm);
+      nodes.delete(name);
+      await node.scheduler.stop();
+    },
+    start: async (name) => {
+      const vm = vmId(name);
+      const telemetry = createTelemetry({ vm }, () => {});
+      past.push(telemetry);
+      const abandoned: Grant[] = [];
+      if (!leases.has(vm)) leases.set(vm, 1);
+      const scheduler = createScheduler({
+        network: createNetwork(vm, name.charAt(0), wire),
+        membership: createMembershipOf(vm),
+        configuration: createConfigurationOf(vm),
+        telemetry,
+        holdsLease: () => leases.get(vm),
+        coldShareWithoutLease: () => coldShare.has(vm),
+        findCachedTokens: (id) => fleet.findCachedTokens(id),
+        onAbandoned: (grant) => abandoned.push(grant),
+      });
+      nodes.set(name, { vm, scheduler, telemetry, abandoned });
+      await scheduler.start();
+      setState(name, 'live');
+    },
+    violations: () =>
+      past.flatMap((t) => t.invariants.violations().map((v) => `${v.invariant}: ${v.detail}`)),
+    get lose() {
+      return wire.lose;
+    },
+    set lose(value) {
+      wire.lose = value;
+    },
+    leases,
+    coldShare,
+    findCachedTokens: () => 0,
+  };
+  for (const vm of vms) await fleet.start(vm);
+  await vi.advanceTimersByTimeAsync(1_100);
+  return fleet;
+}
+
+/** Returns the value of a settled result or throws its error. */
+export function take<T>(result: Result<T, RouterError>): T {
+  if (result.isErr()) throw result.error;
+  return result.value;
+}
+
+/** Returns the error of a failed result. */
+export function takeError<T>(result: Result<T, RouterError>): RouterError {
+  if (result.isOk()) throw new Error('the result is not an error');
+  return result.error;
+}
+
+/** Lets messages and timers of the given time run. */
+export const advance = (ms: number): Promise<unknown> => vi.advanceTimersByTimeAsync(ms);
+
+/** Runs a promise to its end on the fake clock. */
+export async function settle<T>(promise: Promise<T>, limitMs = 30_000): Promise<T> {
+  let done = false;
+  const finished = promise.finally(() => {
+    done = true;
+  });
+  for (let elapsed = 0; !done && elapsed < limitMs; elapsed += 10) await advance(10);
+  return finished;
+}
