Let a signal end a starting daemon, mask passwords in addresses, match keys by digest start

Cause: review of the commands. A signal during a start that hangs was ignored until the start ended; the message of a wrong address could show a password before its @; key withdraw took any longer text for a key, so that a mistyped digest sent to a node looked withdrawn.

Change: the daemon ends by whichever of start failure and signal comes first; text before an @ is masked; only whole digests and texts of a key's form are resolved without the platform, and the start of a digest is looked up there.

--- a/packages/cli/src/admin-client.ts
+++ b/packages/cli/src/admin-client.ts
@@ -7,7 +7,10 @@
 const CALL_TIMEOUT_MS = 2_000;
 const STATUS_NOT_FOUND = 404;
 
-/** Errors: `peer_unavailable` without an answer, `not_found` for an unknown path or name. */
+/**
+ * Errors: `peer_unavailable` without an answer, `not_found` for an unknown path or name,
+ * `invalid_request` when the node refuses the call.
+ */
 export interface AdminPort {
   /** `IP:port`. */
   readonly address: string;
@@ -26,7 +29,10 @@
   if (res.statusCode === STATUS_NOT_FOUND) {
     throw createError('not_found', `${url} answers 404; the node does not know this call or name`);
   }
-  if (res.statusCode >= 400) throw new Error(`status ${res.statusCode}: ${text}`);
+  if (res.statusCode >= 500) throw new Error(`status ${res.statusCode}: ${text}`);
+  if (res.statusCode >= 400) {
+    throw createError('invalid_request', `${url} refuses the call: ${res.statusCode} ${text}`);
+  }
   return text === '' ? undefined : JSON.parse(text);
 }
 
--- a/packages/cli/src/drain-commands.ts
+++ b/packages/cli/src/drain-commands.ts
@@ -19,7 +19,8 @@
 
 type DrainPorts = Pick<CliPorts, 'objectApi' | 'vmList' | 'createWriteId'>;
 
-const kindTitles: Readonly<Record<DrainKind, string>> = {
+/** What operators call each kind. */
+export const kindTitles: Readonly<Record<DrainKind, string>> = {
   dc: 'data centre',
   vm: 'VM',
   upstream: 'upstream',
--- a/packages/cli/src/key-commands.ts
+++ b/packages/cli/src/key-commands.ts
@@ -17,6 +17,9 @@
 /** Characters of a digest that tables show; `--json` prints it whole. */
 const SHOWN_DIGEST_CHARS = 16;
 const DIGEST = /^[0-9a-f]{64}$/;
+const DIGEST_START = /^[0-9a-f]{8,64}$/;
+/** Form of the keys that `key issue` creates. */
+const KEY = /^hb-[A-Za-z0-9_-]{43}$/;
 
 /** Issues a key. It is printed once; only its digest and first characters are stored. */
 export async function issueKey(
@@ -41,25 +44,29 @@
   output.printError('the key is not stored and is not shown again; give it to the organisation');
 }
 
-function findByHint(text: string, keys: readonly Versioned<TenantKey>[]): KeyDigest {
-  const found = keys.filter(({ value }) => value.hint === text);
+/** Finds the only key with a hint, or whose digest begins with the text. */
+function findByPart(text: string, keys: readonly Versioned<TenantKey>[]): KeyDigest {
+  const isStart = DIGEST_START.test(text);
+  const found = keys.filter(
+    ({ value }) => value.hint === text || (isStart && value.digest.startsWith(text)),
+  );
   const [only] = found;
   if (only === undefined) {
-    throw createError('not_found', 'no key has this digest or hint, nor is it one; see "key list"');
+    throw createError('not_found', 'no stored key has this digest, hint or text; see "key list"');
   }
   if (found.length > 1) {
     throw createError(
       'invalid_request',
-      `${found.length} keys have the hint ${text}; give the digest that "key list --json" prints`,
+      `${found.length} keys match ${text}; give the digest that "key list --json" prints`,
     );
   }
   return only.value.digest;
 }
 
-/** A text that is a digest or a whole key is resolved without the platform. */
+/** A whole digest or key is resolved without the platform; anything else is looked up there. */
 function resolveDigest(text: string): KeyDigest | undefined {
   if (DIGEST.test(text)) return keyDigest(text);
-  return text.length > HINT_CHARS ? digestKey(text) : undefined;
+  return KEY.test(text) ? digestKey(text) : undefined;
 }
 
 interface Withdrawal {
@@ -74,7 +81,7 @@
   const { keys } = await readConfiguration(ports.objectApi);
   const resolved = resolveDigest(text);
   const found = keys.find(({ value }) => value.digest === resolved);
-  const digest = found?.value.digest ?? findByHint(text, keys);
+  const digest = found?.value.digest ?? findByPart(text, keys);
   const current = keys.find(({ value }) => value.digest === digest)!;
   if (current.value.withdrawn) return { digest, notes: ['the key was withdrawn already'] };
   const value = { ...current.value, withdrawn: true };
@@ -98,7 +105,7 @@
   admin: AdminPort,
 ): Promise<Withdrawal> {
   const digest =
-    resolveDigest(text) ?? findByHint(text, (await readConfiguration(ports.objectApi)).keys);
+    resolveDigest(text) ?? findByPart(text, (await readConfiguration(ports.objectApi)).keys);
   unwrap(await admin.post('/keys/withdraw', { digest }));
   return { digest, notes: [`the node at ${admin.address} spreads the withdrawal`] };
 }
--- a/packages/cli/src/node-command.ts
+++ b/packages/cli/src/node-command.ts
@@ -24,13 +24,15 @@
 
 /** Names the setting whose address is taken; other errors keep their message. */
 function explainStartFailure(thrown: unknown, settings: NodeSettings): RouterError {
-  const cause = toError(thrown) as NodeJS.ErrnoException & { port?: number };
+  const cause = toError(thrown) as NodeJS.ErrnoException & { address?: string; port?: number };
   const listeners = {
     listen: settings.listen,
     peer_listen: settings.peerListen,
     admin_listen: settings.adminListen,
   };
-  const found = Object.entries(listeners).find(([, { port }]) => port === cause.port);
+  const found = Object.entries(listeners).find(
+    ([, { host, port }]) => host === cause.address && port === cause.port,
+  );
   if (found === undefined) return toRouterError(cause, 'internal', cause.message);
   const [key, address] = found;
   const place = `[node] ${key} = ${formatAddress(address)}`;
@@ -84,15 +86,16 @@
   const settings = unwrap(parseNodeSettings(text, configPath));
   const node = ports.createNode(settings);
   const end = waitForEnd(node, ports, output);
-  try {
-    await node.start();
-  } catch (thrown) {
-    const error = explainStartFailure(thrown, settings);
-    node.telemetry.log('nodeFailed', { error: error.message });
-    presentError(output, error);
-    return exitCodes.failed;
-  }
-  return end;
+  const failure = new Promise<ExitCode>((resolve) => {
+    node.start().catch((thrown: unknown) => {
+      const error = explainStartFailure(thrown, settings);
+      node.telemetry.log('nodeFailed', { error: error.message });
+      presentError(output, error);
+      resolve(exitCodes.failed);
+    });
+  });
+  // A signal ends the process also while the node is still starting.
+  return Promise.race([end, failure]);
 }
 
 /** The daemon's ports in a process. */
--- a/packages/cli/src/ports.ts
+++ b/packages/cli/src/ports.ts
@@ -49,7 +49,7 @@
 function normaliseUrl(option: string, text: string): string {
   const bare = text.replace(/^http:\/\//, '').replace(/\/+$/, '');
   if (splitAddress(bare) === undefined) {
-    throw createError('invalid_request', `${option}: ${text} is not IP:port; write 10.0.0.1:8500`);
+    throw createError('invalid_request', `${option}: expected IP:port, such as 10.0.0.1:8500`);
   }
   return `http://${bare}`;
 }
--- a/packages/cli/src/service-commands.ts
+++ b/packages/cli/src/service-commands.ts
@@ -4,7 +4,7 @@
 import { command, option, optional, positional, string, subcommands } from 'cmd-ts';
 import type { CommandRunner } from './command-runner.js';
 import { adminOption, platformOptions, vmListOption } from './common-options.js';
-import { setDrain } from './drain-commands.js';
+import { kindTitles, setDrain } from './drain-commands.js';
 import { explainPath, explainRequest } from './explain-command.js';
 import { showStatus } from './status-command.js';
 
@@ -29,7 +29,7 @@
     });
   return subcommands({
     name: kind,
-    description: `Take a ${kind} out of service and back.`,
+    description: `Take out of service and return: ${kindTitles[kind]}.`,
     cmds: {
       out: createDirection('out', 'Take out of service.'),
       in: createDirection('in', 'Return to service.'),
--- a/packages/cli/test/daemon.test.ts
+++ b/packages/cli/test/daemon.test.ts
@@ -68,9 +68,20 @@
   expect(stop).toHaveBeenCalledOnce();
 });
 
+test('a signal ends a daemon whose start does not finish', async () => {
+  const { ended, signal, finishDrain } = createDaemon(() => new Promise(() => {}));
+  await signal();
+  finishDrain();
+  expect(await ended).toBe(0);
+});
+
 test('a daemon whose port is taken ends with 1 and names the setting', async () => {
   const { ended, errors } = createDaemon(async () => {
-    throw Object.assign(new Error('listen EADDRINUSE'), { code: 'EADDRINUSE', port: 9080 });
+    throw Object.assign(new Error('listen EADDRINUSE'), {
+      code: 'EADDRINUSE',
+      address: '127.0.0.1',
+      port: 9080,
+    });
   });
   expect(await ended).toBe(1);
   expect(errors.join()).toContain('[node] admin_listen = 127.0.0.1:9080 is in use');
--- a/packages/cli/test/fakes.ts
+++ b/packages/cli/test/fakes.ts
@@ -8,6 +8,9 @@
 import type { AdminPort } from '../src/admin-client.js';
 import type { CliPorts } from '../src/ports.js';
 
+/** Length of the keys that the command creates. */
+const KEY_CHARS = 46;
+
 /** What happens to the next write: its request or its response is lost. */
 export type WriteFault = 'lost request' | 'lost response';
 
@@ -123,7 +126,7 @@
         : okAsync(text);
     },
     createWriteId: () => nextId('write-'),
-    createKey: () => nextId('hb-abcde-secret-part-'),
+    createKey: () => nextId('hb-abcde').padEnd(KEY_CHARS, 'x'),
   };
 
   /** Runs one command line, split at spaces. */
--- a/packages/cli/test/tenants.test.ts
+++ b/packages/cli/test/tenants.test.ts
@@ -1,5 +1,7 @@
-import { expect, test } from 'vitest';
+import { expect, test, vi } from 'vitest';
 import { digestKey } from '@hibiscusbank/configuration';
+import { okAsync } from 'neverthrow';
+import { withdrawKey } from '../src/key-commands.js';
 import { createCommandLine, createFakeAdmin, POOLS_TEXT, ROUTES_TEXT } from './fakes.js';
 
 async function createTenant() {
@@ -28,15 +30,23 @@
   expect([code, out]).toEqual([4, '']);
 });
 
-test.each(['digest', 'hint', 'key'] as const)('a key is withdrawn by its %s', async (form) => {
-  const { platform, run, key, digest } = await createTenant();
-  const text = { digest, hint: key.slice(0, 8), key }[form];
-  const { code, out } = await run(`key withdraw ${text}`);
-  expect(code).toBe(0);
-  expect(out).not.toContain(key);
-  expect(platform.find(`config/keys/${digest}`)).toMatchObject({ withdrawn: true });
-  expect((await run('key list')).out).toMatch(/withdrawn$/);
-});
+test.each(['digest', 'start of the digest', 'hint', 'key'] as const)(
+  'a key is withdrawn by its %s',
+  async (form) => {
+    const { platform, run, key, digest } = await createTenant();
+    const text = {
+      digest,
+      'start of the digest': digest.slice(0, 16),
+      hint: key.slice(0, 8),
+      key,
+    }[form];
+    const { code, out } = await run(`key withdraw ${text}`);
+    expect(code).toBe(0);
+    expect(out).not.toContain(key);
+    expect(platform.find(`config/keys/${digest}`)).toMatchObject({ withdrawn: true });
+    expect((await run('key list')).out).toMatch(/withdrawn$/);
+  },
+);
 
 test('a key that another operator withdraws at the same time counts as withdrawn', async () => {
   const { platform, run, digest } = await createTenant();
@@ -46,6 +56,20 @@
   expect((await run(`key withdraw ${digest}`)).code).toBe(0);
 });
 
+test('a withdrawal by a node needs no platform for a digest, and refuses a hint', async () => {
+  const post = vi.fn(() => okAsync({}));
+  const { platform, key, digest } = await createTenant();
+  platform.state.isDown = true;
+  const via = { address: '10.0.0.1:9080', get: post, post };
+  const ports = { objectApi: platform.objectApi, createWriteId: () => 'write' };
+  const output = { json: false, debug: false, print: () => {}, printError: () => {} };
+  await withdrawKey({ key, via }, ports, output);
+  expect(post).toHaveBeenCalledWith('/keys/withdraw', { digest });
+  await expect(withdrawKey({ key: 'hb-abcde', via }, ports, output)).rejects.toMatchObject({
+    kind: 'platform_unavailable',
+  });
+});
+
 test('an unknown key is refused without printing it', async () => {
   const { run } = await createTenant();
   const { code, errors } = await run('key withdraw hb-zzzzz-some-secret');
--- a/packages/settings/src/read-section.ts
+++ b/packages/settings/src/read-section.ts
@@ -30,7 +30,8 @@
     line: value?.line ?? section.line,
     section: section.title,
     key,
-    found: isSecret ? undefined : value?.text,
+    // An address can hold a password before its @.
+    found: isSecret ? undefined : value?.text.replace(/[^\s/]*@/g, '(hidden)@'),
     allowed: value === undefined ? `missing; ${allowed}` : allowed,
   });
 }
