Test ring changes of the quota and hand balances to a growing holder

A VM that left gave its balance to nobody: its answer was delayed by the start pause, and a holder whose half became the whole did not count as gaining.

--- a/packages/quota/src/adoption.ts
+++ b/packages/quota/src/adoption.ts
@@ -11,7 +11,7 @@
 import { methods } from './messages.js';
 import type { AdoptParams, AdoptReply } from './messages.js';
 import type { QuotaMetrics } from './metrics.js';
-import { findHolders } from './ring.js';
+import { countHalves } from './ring.js';
 import type { Ring } from './ring.js';
 import type { SpendingGuard } from './spending-guard.js';
 
@@ -176,10 +176,12 @@
     const isDrained = monotonicMs() >= notBefore && holder.isDrained();
     const acknowledged = version === params.version && isDrained;
     if (version < params.version) void options.readRing();
-    const isGaining = (organisation: OrganisationId): boolean =>
-      latest !== undefined &&
-      findHolders(organisation, latest.members).includes(asker) &&
-      !findHolders(organisation, holdings.previous()?.members ?? []).includes(asker);
+    const previous = holdings.previous();
+    const isGaining = (organisation: OrganisationId): boolean => {
+      if (latest === undefined) return false;
+      const before = previous === undefined ? 0 : countHalves(organisation, previous, asker);
+      return countHalves(organisation, latest, asker) > before;
+    };
     const balances = acknowledged && params.handover ? holder.takeGivenUp(isGaining) : {};
     return { version, acknowledged, current: isCurrent, balances };
   };
@@ -200,7 +202,7 @@
       isCurrent = false;
       handed = {};
       hasLeft ||= isForGood;
-      notBefore = monotonicMs() + START_PAUSE_MS;
+      if (!isForGood) notBefore = monotonicMs() + START_PAUSE_MS;
       showVersion();
     },
   };
--- a/packages/quota/test/bound.test.ts
+++ b/packages/quota/test/bound.test.ts
@@ -1,7 +1,7 @@
 /** Random faults against the bound of rate x time + burst over every window. */
 import fc from 'fast-check';
 import { afterEach, beforeEach, expect, test, vi } from 'vitest';
-import { createFleet, findLargestExcess } from './support.js';
+import { createFleet } from './support.js';
 import type { Fleet } from './support.js';
 
 const SEED = Number(process.env.QUOTA_SEED ?? 20_261_204);
@@ -9,6 +9,23 @@
 const RATE = 300;
 const BURST = 900;
 
+/** Largest sum over any window beyond `ratePerS` x time; it must not exceed the burst. */
+function findLargestExcess(
+  events: readonly { readonly at: number; readonly tokens: number }[],
+  ratePerS: number,
+): number {
+  let excess = 0;
+  let largest = 0;
+  let last = 0;
+  for (const event of [...events].sort((a, b) => a.at - b.at)) {
+    excess = Math.max(0, excess - ((event.at - last) / 1_000) * ratePerS);
+    excess = Math.max(0, excess + event.tokens);
+    largest = Math.max(largest, excess);
+    last = event.at;
+  }
+  return largest;
+}
+
 beforeEach(() => {
   vi.useFakeTimers();
 });
@@ -177,7 +194,7 @@
     }
     if (s.kind === 'leave' && fleet.get(s.name).alive) {
       const node = fleet.get(s.name);
-      void node.quota.leave().then(() => {
+      void fleet.leave(s.name).then(() => {
         if (node.alive) fleet.kill(s.name);
         setTimeout(() => restart(s.name), s.ms);
       });
--- a/packages/quota/test/support.ts
+++ b/packages/quota/test/support.ts
@@ -1,3 +1,4 @@
+/* eslint import-x/no-relative-packages: off -- test support is no part of a package's interface */
 /** A small fleet in one process: nodes with fake network, membership, configuration and store. */
 import {
   createError,
@@ -33,6 +34,7 @@
   readonly dataCentre: DataCentreId;
   alive: boolean;
   paused: boolean;
+  leaving: boolean;
   lastContact: number;
   readonly quota: Quota;
   readonly handlers: Map<string, PeerHandler>;
@@ -74,6 +76,7 @@
     loseReplies: 0,
     duplicates: 0,
     slowReplies: 0,
+    replyDelayMs: DELAY_MS,
     onCall: undefined as ((method: string, from: VmId, to: VmId) => void) | undefined,
     loseNextReplyTo: undefined as string | undefined,
   };
@@ -122,7 +125,7 @@
       await new Promise(() => {});
     }
     if (node.vm !== to && random.next() < net.loseReplies) await new Promise(() => {});
-    await pass(node.vm === to ? 0 : DELAY_MS);
+    await pass(node.vm === to ? 0 : net.replyDelayMs);
     if (random.next() < net.slowReplies) await pass(random.below(1_500));
     if (!isLinked(node.vm, to)) await new Promise(() => {});
     return JSON.parse(JSON.stringify(result)) as unknown;
@@ -198,7 +201,7 @@
       listLive: (dataCentre: DataCentreId) =>
         [...nodes.values()]
           .filter((node) => node.dataCentre === dataCentre && node.alive && !node.paused)
-          .filter((node) => isLinked(self.vm, node.vm) && listed.has(node.vm))
+          .filter((node) => isLinked(self.vm, node.vm) && listed.has(node.vm) && !node.leaving)
           .map((node) => node.vm)
           .sort(),
       listedVms: () => [...listed],
@@ -215,6 +218,7 @@
       ...self,
       alive: true,
       paused: false,
+      leaving: false,
       lastContact: monotonicMs(),
       quota,
       handlers,
@@ -305,6 +309,11 @@
     return granted;
   };
 
+  const leave = (name: string): Promise<void> => {
+    get(name).leaving = true;
+    return get(name).quota.leave();
+  };
+
   const sever = (a: string, b: string): void => {
     if (a !== b) severed.add(`${a} ${b}`);
   };
@@ -334,6 +343,7 @@
     offer,
     refund,
     kill,
+    leave,
     sever,
     isolate: (name: string) => {
       allNames.forEach((other) => sever(name, other));
@@ -356,20 +366,3 @@
     },
   };
 }
-
-/** Largest sum over any window beyond `ratePerS` x time; it must not exceed the burst. */
-export function findLargestExcess(
-  events: readonly { readonly at: number; readonly tokens: number }[],
-  ratePerS: number,
-): number {
-  let excess = 0;
-  let largest = 0;
-  let last = 0;
-  for (const event of [...events].sort((a, b) => a.at - b.at)) {
-    excess = Math.max(0, excess - ((event.at - last) / 1_000) * ratePerS);
-    excess = Math.max(0, excess + event.tokens);
-    largest = Math.max(largest, excess);
-    last = event.at;
-  }
-  return largest;
-}
