--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -17,11 +17,18 @@
 import { listModels } from './list-models.js';
 import { handleModelRequest } from './model-handler.js';
 import { handlePlainRequest } from './plain-handler.js';
+import type { ApiForm } from './model-request.js';
 import { createRetryBudget } from './retry-budget.js';
 import type { Gateway, GatewayOptions, HandlerContext } from './types.js';
 
 const IDLE_CHECK_MS = 20;
 
+/** Paths of the OpenAI API that run a model. */
+const API_FORMS: Readonly<Partial<Record<string, ApiForm>>> = {
+  '/v1/chat/completions': 'chat',
+  '/v1/completions': 'completion',
+};
+
 function createLatencies(): (pool: string) => LatencyWindow {
   const windows = new Map<string, LatencyWindow>();
   return (pool) => {
@@ -63,25 +70,19 @@
     sendError,
   };
 
+  const serve = async (exchange: Exchange): Promise<void> => {
+    const { incoming, outgoing } = exchange;
+    const [path = '/'] = (incoming.url ?? '/').split('?');
+    if (draining) outgoing.setHeader('connection', 'close');
+    const form = incoming.method === 'POST' ? API_FORMS[path] : undefined;
+    if (form !== undefined) await handleModelRequest(context, exchange, path, form);
+    else if (incoming.method === 'GET' && path === '/v1/models') listModels(context, exchange);
+    else await handlePlainRequest(context, exchange, path);
+  };
+
   const app = new Hono<{ Bindings: HttpBindings }>();
-  app.use(async (c, next) => {
-    if (draining) c.env.outgoing.setHeader('connection', 'close');
-    await next();
-  });
-  app.post('/v1/chat/completions', async (c) => {
-    await handleModelRequest(context, c.env, c.req.path, 'chat');
-    return RESPONSE_ALREADY_SENT;
-  });
-  app.post('/v1/completions', async (c) => {
-    await handleModelRequest(context, c.env, c.req.path, 'completion');
-    return RESPONSE_ALREADY_SENT;
-  });
-  app.get('/v1/models', (c) => {
-    listModels(context, c.env);
-    return RESPONSE_ALREADY_SENT;
-  });
   app.all('*', async (c) => {
-    await handlePlainRequest(context, c.env, c.req.path);
+    await serve(c.env);
     return RESPONSE_ALREADY_SENT;
   });
 
@@ -97,6 +98,7 @@
   };
 
   return {
+    serve,
     start: () =>
       new Promise((resolve, reject) => {
         const listener = getRequestListener(app.fetch, { overrideGlobalObjects: false });
--- a/packages/gateway/src/types.ts
+++ b/packages/gateway/src/types.ts
@@ -57,6 +57,8 @@
 }
 
 export interface Gateway {
+  /** Serves one request to the end of its response. */
+  serve(exchange: Exchange): Promise<void>;
   start(): Promise<void>;
   /** Port that the gateway listens on. */
   port(): number;
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -4,7 +4,7 @@
 import { createGateway } from '@hibiscusbank/gateway';
 import { createMembership, createTcpNetwork } from '@hibiscusbank/peers';
 import type { Membership } from '@hibiscusbank/peers';
-import { createLocalQuota } from '@hibiscusbank/quota';
+import { createEscrowQuota } from '@hibiscusbank/quota';
 import { createScheduler } from '@hibiscusbank/scheduler';
 import type { CellScheduler } from '@hibiscusbank/scheduler';
 import type { NodeSettings } from '@hibiscusbank/settings';
@@ -16,11 +16,12 @@
 export function createNode(settings: NodeSettings, ports: NodePorts): RouterNode {
   const self = { vm: settings.vm, dataCentre: settings.dataCentre };
   const telemetry = createTelemetry(self, ports.logSink);
+  const listens = ports.listens ?? true;
   let draining = false;
 
   const schedulerRef: { current: CellScheduler | undefined } = { current: undefined };
   const membershipRef: { current: Membership | undefined } = { current: undefined };
-  const network = createTcpNetwork({
+  const network = (ports.createNetwork ?? createTcpNetwork)({
     self,
     listen: settings.peerListen,
     secret: settings.peerSecret,
@@ -42,7 +43,13 @@
     telemetry,
     unconfirmedKeysMs: settings.limits.unconfirmedKeysMs,
   });
-  const quota = createLocalQuota(self.vm, configuration);
+  const quota = createEscrowQuota({
+    network,
+    membership,
+    configuration,
+    objectApi: ports.objectApi,
+    telemetry,
+  });
   const engineControl = createEngineControl({
     self,
     ports,
@@ -113,16 +120,17 @@
     quota,
     start: async () => {
       await network.start();
-      await admin.start();
+      if (listens) await admin.start();
       await membership.start();
       await configuration.start();
       await quota.start();
       await scheduler.start();
       engineControl.start();
-      await gateway.start();
+      if (listens) await gateway.start();
       telemetry.log('nodeStarted');
     },
     isReady: () => findObstacle() === undefined,
+    serve: gateway.serve,
     port: () => gateway.port(),
     adminPort: () => admin.port(),
     drain: async () => {
--- a/packages/node/src/types.ts
+++ b/packages/node/src/types.ts
@@ -2,10 +2,11 @@
 import type { LogSink, Telemetry, TokenCounter } from '@hibiscusbank/core';
 import type { ConfigurationReplica } from '@hibiscusbank/configuration';
 import type { EnginePort, UpstreamPort } from '@hibiscusbank/engines';
-import type { Membership, PeerNetwork } from '@hibiscusbank/peers';
+import type { Exchange } from '@hibiscusbank/gateway';
+import type { Membership, PeerNetwork, TcpNetworkOptions } from '@hibiscusbank/peers';
 import type { ObjectApi, VmList, WeightStore } from '@hibiscusbank/platform';
 import type { Quota } from '@hibiscusbank/quota';
-import type { Scheduler } from '@hibiscusbank/scheduler';
+import type { CellScheduler } from '@hibiscusbank/scheduler';
 
 /** The outside of a node; every port has an HTTP adapter. */
 export interface NodePorts {
@@ -14,6 +15,10 @@
   readonly weightStore: WeightStore | undefined;
   readonly engines: EnginePort;
   readonly upstreams: UpstreamPort;
+  /** Replaces the TCP network, so that a test can delay, lose and cut calls between nodes. */
+  readonly createNetwork?: (options: TcpNetworkOptions) => PeerNetwork;
+  /** False for a node that gets its requests through `serve` only. */
+  readonly listens?: boolean;
   readonly logSink?: LogSink;
   readonly countTokens?: TokenCounter;
 }
@@ -23,11 +28,13 @@
   readonly configuration: ConfigurationReplica;
   readonly membership: Membership;
   readonly network: PeerNetwork;
-  readonly scheduler: Scheduler;
+  readonly scheduler: CellScheduler;
   readonly quota: Quota;
   /** Starts all listeners; resolves when they listen, which is before the node is ready. */
   start(): Promise<void>;
   isReady(): boolean;
+  /** Serves one request to the end of its response; the HTTP server of the node does the same. */
+  serve(exchange: Exchange): Promise<void>;
   /** Port for callers. */
   port(): number;
   adminPort(): number;
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -13,6 +13,7 @@
   test: {
     include: ['packages/*/test/**/*.test.ts'],
     env: { ROARR_LOG: 'false' },
-    testTimeout: 20_000,
+    // A hang fails the test; a slow machine does not.
+    testTimeout: 180_000,
   },
 });
