--- a/packages/settings/src/read-section.ts
+++ b/packages/settings/src/read-section.ts
@@ -31,7 +31,7 @@
     section: section.title,
     key,
     // An address can hold a password before its @.
-    found: isSecret ? undefined : value?.text.replace(/[^\s/]*@/g, '(hidden)@'),
+    found: isSecret ? undefined : value?.text.replace(/.*@/s, '(hidden)@'),
     allowed: value === undefined ? `missing; ${allowed}` : allowed,
   });
 }
