--- a/packages/cli/test/apply.test.ts
+++ b/packages/cli/test/apply.test.ts
@@ -49,14 +49,10 @@
 
 test('an apply that was interrupted says how far it came and can be repeated', async () => {
   const { files, platform, run } = await createSite();
-  files.set(
-    'pools.ini',
-    POOLS_TEXT.replaceAll('kind = plain\n', 'kind = plain\n').replaceAll(':9000', ':9001'),
-  );
-  const { store, state } = platform;
+  files.set('pools.ini', POOLS_TEXT.replaceAll(':9000', ':9001'));
+  const { find, state, store } = platform;
   state.beforeWrite = () => {
-    state.beforeWrite = () => store('config/pools/plans', platform.find('config/pools/plans'));
-    return undefined;
+    state.beforeWrite = () => store('config/pools/plans', find('config/pools/plans'));
   };
   const first = await run('apply pools pools.ini');
   expect(first.code).toBe(3);
