Check the key before the body, explain requests, withdraw keys on a node

The random generator hashes its seed: small seeds gave a first number near 1. A rate limit of the object API counts as unavailable; its body was taken for an object.

--- a/packages/core/src/logging.ts
+++ b/packages/core/src/logging.ts
@@ -15,7 +15,8 @@
   text: string,
 ) => void;
 
-const writeToRoarr: LogSink = (level, context, text) => {
+/** Writes through roarr to standard output. */
+export const writeToRoarr: LogSink = (level, context, text) => {
   Roarr[level](context as never, text);
 };
 
--- a/packages/core/src/random.ts
+++ b/packages/core/src/random.ts
@@ -2,6 +2,8 @@
 import { uniformInt } from 'pure-rand/distribution/uniformInt';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 
+import { hash32 } from './hashing.js';
+
 /** Source of random numbers passed to whatever makes random choices. */
 export interface Random {
   /** Uniform in [0, 1). */
@@ -16,7 +18,8 @@
 
 /** Creates a generator; equal seeds give equal sequences. */
 export function createRandom(seed: number): Random {
-  const generator = xoroshiro128plus(seed);
+  // The generator's first numbers repeat the bits of a small seed, so the seed is hashed first.
+  const generator = xoroshiro128plus(hash32(String(seed)));
   const below = (bound: number): number => uniformInt(generator, 0, bound - 1);
   return {
     next: () => below(UNIT_STEPS) / UNIT_STEPS,
--- /dev/null
+++ b/packages/core/test/random.test.ts
@@ -0,0 +1,14 @@
+import { createRandom } from '@hibiscusbank/core';
+import { expect, test } from 'vitest';
+
+test('first numbers of small seeds are spread, so that runs with seeds 1 to 100 differ', () => {
+  const firsts = Array.from({ length: 100 }, (_, i) => createRandom(i + 1).next());
+  const lower = firsts.filter((first) => first < 0.5).length;
+  expect(lower).toBeGreaterThan(25);
+  expect(lower).toBeLessThan(75);
+});
+
+test('equal seeds give equal sequences', () => {
+  const [a, b] = [createRandom(7), createRandom(7)];
+  expect([a.next(), a.below(9), a.next()]).toEqual([b.next(), b.below(9), b.next()]);
+});
--- a/packages/gateway/src/admission.ts
+++ b/packages/gateway/src/admission.ts
@@ -3,11 +3,11 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { createError, requestId } from '@hibiscusbank/core';
 import type { OrganisationId, RequestId, RouterError } from '@hibiscusbank/core';
-import type { RouteEntry } from '@hibiscusbank/settings';
+import { findMismatch, rankRoutes } from '@hibiscusbank/settings';
+import type { RouteEntry, RouteQuery } from '@hibiscusbank/settings';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
-import { authorise } from './authenticate.js';
-import { matchRoute } from './match-route.js';
+import { authorise, identifyOrganisation } from './authenticate.js';
 import type { AdmittedRequest, GatewayOptions } from './types.js';
 
 export interface Exchange {
@@ -27,6 +27,11 @@
 }
 
 export interface Admission {
+  /**
+   * Checks the key alone, before the body is read, unless a route on the path is open to all. The
+   * model, which decides between routes, is known only from the body.
+   */
+  checkKey(exchange: Exchange, path: string): Result<void, RouterError>;
   /** Errors: `no_route`, `unauthorised`, `forbidden`, `not_ready`. */
   check(exchange: Exchange, query: AdmissionQuery): Result<Permission, RouterError>;
   /** Starts a request; `finish` ends it. A resumed request keeps its id. */
@@ -39,6 +44,11 @@
   readonly finish: () => void;
 }
 
+/** Whether a route serves a path and method for any model. */
+function isOnPath(route: RouteEntry, query: Omit<RouteQuery, 'model'>): boolean {
+  return findMismatch({ ...route, model: undefined }, { ...query, model: undefined }) === undefined;
+}
+
 /** Creates the admission of a gateway. */
 export function createAdmission(options: GatewayOptions): Admission {
   const { configuration, telemetry } = options;
@@ -51,9 +61,19 @@
 
   return {
     activeRequests: () => active,
+    checkKey: ({ incoming }, path) => {
+      const method = incoming.method ?? 'GET';
+      const isOpen = configuration
+        .routes()
+        .some((route) => route.access.kind === 'all' && isOnPath(route, { method, path }));
+      if (isOpen) return ok(undefined);
+      return identifyOrganisation(configuration, incoming.headers.authorization).map(
+        () => undefined,
+      );
+    },
     check: ({ incoming }, { path, model }) => {
       const method = incoming.method ?? 'GET';
-      const route = matchRoute(configuration.routes(), { method, path, model });
+      const [route] = rankRoutes(configuration.routes(), { method, path, model });
       if (route === undefined) {
         const what = model === undefined ? path : `${path} with model ${model}`;
         return err(
--- a/packages/gateway/src/model-handler.ts
+++ b/packages/gateway/src/model-handler.ts
@@ -84,6 +84,11 @@
   form: ApiForm,
 ): Promise<void> {
   const { admission, options } = context;
+  const identified = admission.checkKey(exchange, path);
+  if (identified.isErr()) {
+    context.sendError(exchange, identified.error);
+    return;
+  }
   const body = await readBody(exchange.incoming, options.limits.maxBodyBytes);
   const checked = body.andThen((bytes) =>
     parseModelRequest(form, bytes).andThen((model) =>
--- a/packages/gateway/test/http.test.ts
+++ b/packages/gateway/test/http.test.ts
@@ -72,6 +72,7 @@
   ['an unknown key', 'sk-wrong', valid, chat, 401, 'withdrawn'],
   ['a key of an organisation off the route', 'sk-other', valid, chat, 403, 'ask the operator'],
   ['an unknown path', 'sk-good', valid, '/nowhere', 404, 'routes table'],
+  ['a withdrawn key with a malformed body', 'sk-wrong', '{"model":', chat, 401, 'withdrawn'],
   ['malformed JSON', 'sk-good', '{"model":', chat, 400, 'not valid JSON'],
   ['a body without messages', 'sk-good', '{"model":"m"}', chat, 400, 'messages'],
   ['a body over the limit', 'sk-good', ' '.repeat(20_000), chat, 413, '10000 bytes'],
--- a/packages/node/src/admin.ts
+++ b/packages/node/src/admin.ts
@@ -3,7 +3,7 @@
 import type { Server } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import { getRequestListener } from '@hono/node-server';
-import { poolId } from '@hibiscusbank/core';
+import { keyDigest, poolId } from '@hibiscusbank/core';
 import { Hono } from 'hono';
 import type { RouterNode } from './types.js';
 
@@ -22,6 +22,8 @@
   /** Why the node is not ready, or `undefined` when it is. */
   readonly findObstacle: () => string | undefined;
   readonly activeRequests: () => number;
+  /** Recent log lines about a request. */
+  readonly explainRequest: (request: string) => readonly string[];
 }
 
 function describeNode({ node, activeRequests, findObstacle }: AdminOptions) {
@@ -57,8 +59,16 @@
   app.get('/status', (c) => c.json(describeNode(options)));
   app.get('/explain', (c) => {
     const pool = c.req.query('pool');
-    if (pool === undefined) return c.json({ error: 'name a pool: /explain?pool=NAME' }, 400);
-    return c.json({ lines: node.scheduler.explain(poolId(pool)) });
+    const request = c.req.query('request');
+    if (pool !== undefined) return c.json({ lines: node.scheduler.explain(poolId(pool)) });
+    if (request !== undefined) return c.json({ lines: options.explainRequest(request) });
+    return c.json({ error: 'name a pool or a request: /explain?pool=NAME or ?request=ID' }, 400);
+  });
+  app.post('/keys/withdraw', async (c) => {
+    const { digest } = await c.req.json<{ digest?: string }>();
+    if (digest === undefined) return c.json({ error: 'send {"digest": SHA-256 of the key}' }, 400);
+    await node.configuration.withdrawKey(keyDigest(digest));
+    return c.json({ withdrawn: digest });
   });
   return {
     start: () =>
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -1,5 +1,5 @@
 /** Assembles the modules of one node. */
-import { countTokens, createTelemetry } from '@hibiscusbank/core';
+import { countTokens, createTelemetry, writeToRoarr } from '@hibiscusbank/core';
 import { createConfigurationReplica } from '@hibiscusbank/configuration';
 import { createGateway } from '@hibiscusbank/gateway';
 import { createMembership, createTcpNetwork } from '@hibiscusbank/peers';
@@ -10,12 +10,18 @@
 import type { NodeSettings } from '@hibiscusbank/settings';
 import { createAdminServer } from './admin.js';
 import { createEngineControl } from './engine-control.js';
+import { createRecentDecisions } from './recent-decisions.js';
 import type { NodePorts, RouterNode } from './types.js';
 
 /** Creates a node. Nothing runs before `start`. */
 export function createNode(settings: NodeSettings, ports: NodePorts): RouterNode {
   const self = { vm: settings.vm, dataCentre: settings.dataCentre };
-  const telemetry = createTelemetry(self, ports.logSink);
+  const decisions = createRecentDecisions();
+  const writeLog = ports.logSink ?? writeToRoarr;
+  const telemetry = createTelemetry(self, (level, context, text) => {
+    decisions.record(level, context, text);
+    writeLog(level, context, text);
+  });
   const listens = ports.listens ?? true;
   let draining = false;
 
@@ -98,6 +104,7 @@
     listen: settings.adminListen,
     findObstacle,
     activeRequests: () => gateway.activeRequests(),
+    explainRequest: decisions.find,
   });
 
   const stopAll = async (): Promise<void> => {
--- /dev/null
+++ b/packages/node/src/recent-decisions.ts
@@ -0,0 +1,40 @@
+/** Keeps the log lines of recent requests, so that operators can ask why one went where it went. */
+import type { LogSink } from '@hibiscusbank/core';
+
+/** Requests whose lines are kept; the oldest are dropped first. */
+const MAX_REQUESTS = 1_000;
+const MAX_LINES_PER_REQUEST = 40;
+/** Fields that the question or the VM already tells. */
+const IMPLIED_FIELDS = new Set(['request', 'dataCentre']);
+
+export interface RecentDecisions {
+  /** Receives every log event. */
+  readonly record: LogSink;
+  /** Lines about a request, oldest first. */
+  find(request: string): readonly string[];
+}
+
+function formatLine(context: Readonly<Record<string, unknown>>, text: string): string {
+  const { event, vm, ...fields } = context;
+  const details = Object.entries(fields)
+    .filter(([name, value]) => value !== undefined && !IMPLIED_FIELDS.has(name))
+    .map(([name, value]) => `${name}=${String(value)}`);
+  return [new Date().toISOString(), String(vm), String(event), text, ...details].join(' ');
+}
+
+/** Creates the store of one node. */
+export function createRecentDecisions(): RecentDecisions {
+  const linesByRequest = new Map<string, string[]>();
+  return {
+    record: (_level, context, text) => {
+      const { request } = context;
+      if (typeof request !== 'string') return;
+      const lines = linesByRequest.get(request) ?? [];
+      linesByRequest.set(request, lines);
+      if (lines.length < MAX_LINES_PER_REQUEST) lines.push(formatLine(context, text));
+      const [oldest] = linesByRequest.keys();
+      if (linesByRequest.size > MAX_REQUESTS && oldest !== undefined) linesByRequest.delete(oldest);
+    },
+    find: (request) => linesByRequest.get(request) ?? [],
+  };
+}
--- a/packages/platform/src/http.ts
+++ b/packages/platform/src/http.ts
@@ -36,7 +36,10 @@
   return { status: res.statusCode, body: text === '' ? undefined : JSON.parse(text) };
 }
 
-/** Sends one call. Statuses from 500 and transport errors give `platform_unavailable`. */
+/** Statuses that the callers of `callJson` tell apart; others mean that the service is unusable. */
+const MEANINGFUL_STATUSES = new Set([200, 400, 404, 409, 410, 413]);
+
+/** Sends one call. A rate limit, a server error or no answer gives `platform_unavailable`. */
 export function callJson(call: JsonCall): ResultAsync<JsonResponse, RouterError> {
   const unavailable = (cause?: Error): RouterError =>
     createError(
@@ -46,7 +49,7 @@
     );
   return ResultAsync.fromPromise(
     send(call).then((res) => {
-      if (res.status >= 500) throw new Error(`status ${res.status}`);
+      if (!MEANINGFUL_STATUSES.has(res.status)) throw new Error(`status ${res.status}`);
       return res;
     }),
     (thrown) => unavailable(toError(thrown)),
