Reroute unreachable requests and count refused resumptions as cut

A resumption that was refused as not run made the whole request count as not run, although its beginning had run. A request that finds no listener now goes to the next target, as with a balancer.

--- a/packages/standins/src/load/send-request.ts
+++ b/packages/standins/src/load/send-request.ts
@@ -10,6 +10,7 @@
 const HTTP_OK = 200;
 const OUTCOME_HEADER = 'x-hibiscusbank-outcome';
 const MAX_RESUMES = 3;
+const MAX_REROUTES = 3;
 const CONNECT_CODES = new Set(['ECONNREFUSED', 'UND_ERR_CONNECT_TIMEOUT']);
 
 export interface SendContext {
@@ -37,6 +38,7 @@
   lastTokenAtMs: number;
   body: string;
   resumed: number;
+  rerouted: number;
   cancelled: boolean;
 }
 
@@ -148,11 +150,24 @@
   });
 }
 
-function mayResume(context: SendContext, progress: Progress, ending: Ending): boolean {
-  const isBroken = ending.outcome === 'cut' || ending.outcome === 'unreachable';
-  const { scanner } = progress;
-  const hasBegun = scanner !== undefined && scanner.tokens() > 0;
-  return context.resumes && isBroken && hasBegun && progress.resumed < MAX_RESUMES;
+function hasBegun(progress: Progress): boolean {
+  return progress.scanner !== undefined && progress.scanner.tokens() > 0;
+}
+
+/** A request that reached no target goes to the next one; a broken stream is resumed there. */
+function mayContinue(context: SendContext, progress: Progress, ending: Ending): boolean {
+  const isUnreachable = ending.outcome === 'unreachable';
+  if (!hasBegun(progress)) return isUnreachable && progress.rerouted < MAX_REROUTES;
+  const isBroken = ending.outcome === 'cut' || isUnreachable;
+  return context.resumes && isBroken && progress.resumed < MAX_RESUMES;
+}
+
+/** Whatever refuses the rest of an answer, its beginning ran and was received. */
+function correctEnding(progress: Progress, ending: Ending): Ending {
+  const isRefused = ending.status !== undefined || ending.outcome === 'unreachable';
+  if (!hasBegun(progress) || !isRefused) return ending;
+  const reason = ending.status === undefined ? 'unreachable' : `status ${ending.status}`;
+  return { ...ending, outcome: 'cut', detail: `resume refused: ${reason}` };
 }
 
 function createProgress(arrival: Arrival): Progress {
@@ -165,6 +180,7 @@
     lastTokenAtMs: 0,
     body: '',
     resumed: 0,
+    rerouted: 0,
     cancelled: false,
   };
 }
@@ -199,13 +215,15 @@
   const progress = createProgress(arrival);
   let target = firstTarget;
   let ending = await sendOnce(context, progress, target);
-  while (mayResume(context, progress, ending)) {
-    context.targets.reportUnreachable(target);
+  while (mayContinue(context, progress, ending)) {
+    // A broken connection says nothing about new connections to the same target.
+    if (ending.outcome === 'unreachable') context.targets.reportUnreachable(target);
+    if (hasBegun(progress)) progress.resumed += 1;
+    else progress.rerouted += 1;
     target = context.targets.next() ?? target;
-    progress.resumed += 1;
     progress.scanner?.reconnect();
     ending = await sendOnce(context, progress, target);
   }
   if (ending.outcome === 'unreachable') context.targets.reportUnreachable(target);
-  return createResult(progress, ending);
+  return createResult(progress, correctEnding(progress, ending));
 }
--- a/packages/standins/test/load.test.ts
+++ b/packages/standins/test/load.test.ts
@@ -1,8 +1,15 @@
 import { createServer } from 'node:http';
 import type { Server } from 'node:http';
 import type { AddressInfo } from 'node:net';
-import { LOAD_DEFAULTS, MODEL_ROUTE_DEFAULTS, runLoad, tokenText } from '@hibiscusbank/standins';
+import {
+  computeTag,
+  LOAD_DEFAULTS,
+  MODEL_ROUTE_DEFAULTS,
+  runLoad,
+  tokenText,
+} from '@hibiscusbank/standins';
 import type { LoadOptions } from '@hibiscusbank/standins';
+import { Agent } from 'undici';
 import { afterEach, expect, test } from 'vitest';
 import { createRequestPlanner } from '../src/load/plan-request.js';
 import { drawArrivals } from '../src/load/run-load.js';
@@ -107,7 +114,6 @@
 }
 
 test('a target that is not ready gets no request', async () => {
-  const { Agent } = await import('undici');
   const client = new Agent();
   const answer = (status: number): Server =>
     createServer((_req, res) => {
@@ -136,3 +142,83 @@
   expect(outcomes.not_run).toBe(sent);
   expect(refusedByStatus).toEqual({ 429: sent });
 });
+
+async function findClosedUrl(): Promise<string> {
+  const server = createServer();
+  const url = await listen(server);
+  await new Promise((resolve) => {
+    server.close(resolve);
+  });
+  return url;
+}
+
+test('a request that reaches no target goes to the next one', async () => {
+  const url = await listen(
+    createServer((_req, res) => {
+      res.writeHead(429, { 'x-hibiscusbank-outcome': 'not_run' });
+      res.end('{}');
+    }),
+  );
+  const targets = [{ url: await findClosedUrl() }, { url }];
+  const report = await runLoad({ ...options, targets, ratePerS: 1_000, seconds: 0.02 });
+  expect(report.total.outcomes).toMatchObject({ not_run: report.total.sent, unreachable: 0 });
+});
+
+/** Sends the first token and breaks the connection; `resume` answers the repetition. */
+function createBreakingServer(resume: (lastId: string, tag: string) => string | undefined): Server {
+  return createServer((req, res) => {
+    let body = '';
+    req.on('data', (chunk: Buffer) => {
+      body += chunk.toString();
+    });
+    req.on('end', () => {
+      const { messages } = JSON.parse(body) as { messages: { content: string }[] };
+      const tag = computeTag(messages[0]?.content ?? '');
+      const lastId = req.headers['last-event-id'];
+      if (lastId === undefined) {
+        res.writeHead(200);
+        res.write(event(0, tag), () => res.destroy());
+        return;
+      }
+      const rest = resume(String(lastId), tag);
+      res.writeHead(rest === undefined ? 503 : 200, { 'x-hibiscusbank-outcome': 'not_run' });
+      res.end(rest ?? '{}');
+    });
+  });
+}
+
+const breakingRun = (url: string): LoadOptions => ({
+  ...options,
+  routes: [{ ...MODEL_ROUTE_DEFAULTS, promptTokens: [50, 50], answerTokens: [2, 2] }],
+  targets: [{ url }],
+  ratePerS: 1_000,
+  seconds: 0.01,
+});
+
+test('a broken stream that resumes after its last event is an answer', async () => {
+  const url = await listen(
+    createBreakingServer((lastId, tag) =>
+      lastId === 'r.e.0' ? event(1, tag, '"length"') + END : undefined,
+    ),
+  );
+  const { total } = await runLoad(breakingRun(url));
+  expect(total.sent).toBeGreaterThan(0);
+  expect(total.outcomes.answered).toBe(total.sent);
+  expect(total.resumed).toBe(total.sent);
+});
+
+test('a stream that starts again from its first token is a wrong answer', async () => {
+  const url = await listen(
+    createBreakingServer((_lastId, tag) => event(0, tag) + event(1, tag, '"length"') + END),
+  );
+  const { total } = await runLoad(breakingRun(url));
+  expect(total.sent).toBeGreaterThan(0);
+  expect(total.outcomes.wrong).toBe(total.sent);
+});
+
+test('a refused resumption leaves the answer cut and not unrun', async () => {
+  const url = await listen(createBreakingServer(() => undefined));
+  const { total } = await runLoad(breakingRun(url));
+  expect(total.sent).toBeGreaterThan(0);
+  expect(total.outcomes).toMatchObject({ cut: total.sent, not_run: 0 });
+});
--- a/packages/standins/test/services-http.test.ts
+++ b/packages/standins/test/services-http.test.ts
@@ -45,6 +45,16 @@
   expect((await watch).isErr()).toBe(true);
 });
 
+test('a watch whose caller disconnects no longer waits', async () => {
+  const server = keep(await startObjectApi(0));
+  const caller = new AbortController();
+  const watch = createHttpObjectApi(server.url).watch('a', 0, 60_000, caller.signal);
+  await vi.waitFor(() => expect(server.readState().waitingWatches).toBe(1));
+  caller.abort();
+  expect((await watch).isErr()).toBe(true);
+  await vi.waitFor(() => expect(server.readState().waitingWatches).toBe(0));
+});
+
 test('control calls answer during an outage and reject unknown faults', async () => {
   const server = keep(await startObjectApi(0));
   const post = (body: object) =>
