--- a/packages/scheduler/src/admission.ts
+++ b/packages/scheduler/src/admission.ts
@@ -80,7 +80,8 @@
       if (unplaceable !== undefined || !options.mayGrant()) return unplaceable;
       const waitMs = waitOf(entry, now);
       const firstTokenMs = waitMs + entry.prefillMs;
-      if (mayOverflow && waitMs > 0 && firstTokenMs > entry.req.firstTokenTargetMs) {
+      const limitMs = Math.min(entry.req.firstTokenTargetMs, entry.patienceMs);
+      if (mayOverflow && waitMs > 0 && firstTokenMs > limitMs) {
         return { kind: 'overflow', summary: summary() };
       }
       // Cold upstreams without the lease give no estimate; the request waits for the lease.
--- a/packages/scheduler/src/cell-host.ts
+++ b/packages/scheduler/src/cell-host.ts
@@ -96,7 +96,13 @@
         holdsLease: options.holdsLease(plan.id) !== undefined,
         hasColdShare: options.coldShareWithoutLease(plan.id),
       }),
-      epoch: () => Math.max(ref.current?.epoch ?? 0, options.holdsLease(plan.id) ?? 0),
+      epoch: () => {
+        const entry = ref.current;
+        if (entry === undefined) return 0;
+        // An owner that loses its lease goes on placing, so its epoch must not fall.
+        entry.epoch = Math.max(entry.epoch, options.holdsLease(plan.id) ?? 0);
+        return entry.epoch;
+      },
       isOut: topology.isOut,
       mayGrant: () => running && ref.current?.ready === true && isClockSound(),
       nextGrantId: () => {
--- a/packages/scheduler/src/latency-monitor.ts
+++ b/packages/scheduler/src/latency-monitor.ts
@@ -8,7 +8,8 @@
 /** Latency up to this factor over the baseline counts as unloaded. */
 const TOLERANCE = 2;
 const RECENT_WEIGHT = 0.2;
-const BASELINE_WEIGHT = 0.01;
+/** About 40 s at 50 responses a second: lasting overload must not become the baseline soon. */
+const BASELINE_WEIGHT = 0.0005;
 const MIN_GRADIENT = 0.5;
 
 export interface LatencyMonitor {
--- /dev/null
+++ b/packages/scheduler/test/placement.test.ts
@@ -0,0 +1,155 @@
+import { upstreamId, vmId } from '@hibiscusbank/core';
+import type { Grant } from '@hibiscusbank/scheduler';
+import { afterEach, beforeEach, expect, test, vi } from 'vitest';
+import { placeMany, plainPool, serverOf, warm } from './helpers.js';
+import { advance, createFleet, modelPool, request, settle, take, takeError } from './support.js';
+import type { Fleet } from './support.js';
+
+beforeEach(() => vi.useFakeTimers());
+afterEach(() => vi.useRealTimers());
+
+// Guards against an owner that cannot place any more when the platform and its lease are gone.
+test('an owner that loses its lease goes on placing on warm upstreams', async () => {
+  const fleet = await createFleet(['a1'], plainPool(1));
+  fleet.leases.set(vmId('a1'), 7);
+  await warm(fleet);
+  fleet.leases.set(vmId('a1'), undefined);
+  expect(await placeMany(fleet, 1)).toHaveLength(1);
+});
+
+// Guards against heavy senders: their queue must not delay or refuse anyone else.
+test('a light organisation is served next although a heavy one fills the queue', async () => {
+  const fleet = await createFleet(['a1'], plainPool(1));
+  const running = await placeMany(fleet, 4, 'a1', { org: 'heavy' });
+  const heavy = Array.from({ length: 200 }, () =>
+    fleet.place('a1', request({ org: 'heavy', promptTokens: 0, patienceMs: 3_000 })),
+  );
+  await advance(20);
+  const light = fleet.place('a1', request({ org: 'light', promptTokens: 0, patienceMs: 3_000 }));
+  await advance(20);
+  const { scheduler } = fleet.node('a1');
+  running.slice(0, 2).forEach((grant) => scheduler.release(grant, { outcome: 'completed' }));
+  let served = false;
+  void light.then((result) => {
+    served = result.isOk();
+  });
+  await advance(20);
+  expect(served).toBe(true);
+  await settle(Promise.all(heavy));
+});
+
+// Guards against a Retry-After at which the request would be refused again.
+test('a refused request is accepted after its Retry-After', async () => {
+  const fleet = await createFleet(['a1'], modelPool());
+  const waiting = Array.from({ length: 8 }, () =>
+    fleet.place('a1', request({ promptTokens: 8_000 })),
+  );
+  await advance(20);
+  const late = (): ReturnType<Fleet['place']> =>
+    fleet.place('a1', request({ org: 'late', promptTokens: 1_000, patienceMs: 300 }));
+  const error = takeError(await settle(late()));
+  await advance(error.retryAfterMs ?? 0);
+  const repeated = late();
+  const { scheduler } = fleet.node('a1');
+  (await settle(Promise.all(waiting.slice(0, 2)))).map(take).forEach((grant) => {
+    scheduler.finishPrefill(grant, { outcome: 'completed' });
+    scheduler.release(grant, { outcome: 'completed' });
+  });
+  expect((await settle(repeated)).isOk()).toBe(true);
+});
+
+// Guards against full load on a process that has just started.
+test('a cold upstream gets its cold limit, and its capacity after successes', async () => {
+  const fleet = await createFleet(['a1'], plainPool(1, { capacity: 8, coldLimit: 2 }));
+  expect(fleet.owner().scheduler.ownedCells()[0]?.slots).toBe(2);
+  await warm(fleet, 20);
+  expect(fleet.owner().scheduler.ownedCells()[0]?.slots).toBe(8);
+  const [grant] = await placeMany(fleet, 1);
+  fleet.node('a1').scheduler.release(grant!, { outcome: 'cold', upstream: upstreamId('s0') });
+  await advance(50);
+  expect(fleet.owner().scheduler.ownedCells()[0]?.slots).toBe(2);
+});
+
+// Guards against two owners that each use the whole cold limit.
+test('without the lease only the two named VMs use a cold upstream, half the limit each', async () => {
+  const fleet = await createFleet(['a1'], plainPool(1, { capacity: 8, coldLimit: 5 }));
+  fleet.leases.set(vmId('a1'), undefined);
+  expect(fleet.owner().scheduler.ownedCells()[0]?.slots).toBe(0);
+  fleet.coldShare.add(vmId('a1'));
+  expect(fleet.owner().scheduler.ownedCells()[0]?.slots).toBe(2);
+});
+
+// Guards against a slow start of warm upstreams at every change of owner.
+test('the next owner learns from the nodes that upstreams are warm', async () => {
+  const fleet = await createFleet(['a1', 'a2'], plainPool(1, { capacity: 8, coldLimit: 2 }));
+  await warm(fleet, 20);
+  await placeMany(fleet, 1);
+  if (fleet.owner().vm === 'a1') fleet.setState('a1', 'leaving');
+  else {
+    await fleet.kill('a2');
+    fleet.setState('a2', 'dead');
+  }
+  await advance(1_200);
+  expect(fleet.owner().scheduler.ownedCells()[0]?.slots).toBe(8);
+});
+
+// Guards against full load on caches that are cold after a return to service.
+test('an upstream that returns starts at half its capacity', async () => {
+  const fleet = await createFleet(['a1'], plainPool(1, { capacity: 8, coldLimit: 2 }));
+  await warm(fleet, 20);
+  fleet.setOut('s0', true);
+  fleet.setOut('s0', false);
+  expect(fleet.owner().scheduler.ownedCells()[0]?.slots).toBe(4);
+});
+
+// Guards against traffic to an upstream that refuses connections.
+test('a failing upstream is avoided and probed, but never all of them', async () => {
+  const fleet = await createFleet(['a1'], plainPool(3));
+  const { scheduler } = fleet.node('a1');
+  const fail = (grant: Grant): void =>
+    scheduler.release(grant, { outcome: 'failed', upstream: upstreamId(serverOf(grant)) });
+  const first = (await placeMany(fleet, 6)).filter((grant) => serverOf(grant) === 's0');
+  first.forEach(fail);
+  await advance(50);
+  const next = await placeMany(fleet, 3);
+  expect(next.map(serverOf)).not.toContain('s0');
+  next.forEach(fail);
+  (await placeMany(fleet, 3)).forEach(fail);
+  await advance(10);
+  expect((await settle(fleet.place('a1', request({ promptTokens: 0 })))).isOk()).toBe(true);
+});
+
+// Guards against prefills whose result no decode engine can take.
+test('no prefill starts without a decode slot and its memory', async () => {
+  const fleet = await createFleet(['a1'], modelPool('a', { memoryBlocks: 2, coldLimit: 4 }));
+  const big = { promptTokens: 1_500, maxTokens: 400, patienceMs: 1_500 };
+  const results = [1, 2, 3].map(() => fleet.place('a1', request(big)));
+  const settled = await settle(Promise.all(results));
+  expect(settled.filter((result) => result.isOk())).toHaveLength(2);
+});
+
+// Guards against an affinity that piles requests on one engine.
+test('a cached prefix wins unless the backlog exceeds the saving', async () => {
+  const fleet = await createFleet(['a1'], modelPool());
+  fleet.findCachedTokens = (id) => (id === 'p2' ? 400 : 0);
+  const place = async (): Promise<Grant> =>
+    take(await settle(fleet.place('a1', request({ promptTokens: 1_000, prefixHashes: [1] }))));
+  const prefillOf = (grant: Grant) =>
+    grant.target.kind === 'model' ? grant.target.prefill.upstream : undefined;
+  expect(prefillOf(await place())).toBe('p2');
+  expect(prefillOf(await place())).toBe('p1');
+});
+
+// Guards against prefill work for callers that will be gone.
+test('a request that cannot be served within its patience is refused at once', async () => {
+  const fleet = await createFleet(['a1'], modelPool());
+  const started = Date.now();
+  const result = await settle(
+    fleet.place('a1', request({ promptTokens: 20_000, patienceMs: 500 })),
+  );
+  const error = takeError(result);
+  expect(error.kind).toBe('no_capacity');
+  expect(error.effect).toBe('not_run');
+  expect(error.retryAfterMs).toBeGreaterThanOrEqual(1_000);
+  expect(Date.now() - started).toBeLessThan(100);
+});
