Grant nothing to a waiting request that its node has stopped asking for

The dispatcher now drops such an entry itself. Killed nodes of the test fleet no longer send, which hid the case.

--- a/packages/scheduler/src/dispatcher.ts
+++ b/packages/scheduler/src/dispatcher.ts
@@ -218,6 +218,10 @@
 
   /** Handles one entry; returns whether others may be tried after it. */
   const tryEntry = (entry: Waiting, skipped: Set<Waiting>, now: number): boolean => {
+    if (!waiting.isLive(entry, now)) {
+      waiting.settle(entry, { kind: 'moved' }, false);
+      return true;
+    }
     if (refuseLate(entry, now)) return true;
     const isPlain = options.plan().pool.kind === 'plain';
     const placement = isPlain ? placePlain(entry.req, now) : placeModel(entry.req, now);
--- a/packages/scheduler/test/cells.test.ts
+++ b/packages/scheduler/test/cells.test.ts
@@ -266,3 +266,23 @@
   expect(lines).toContain('not used: out of service');
   expect(lines).toMatch(/queue crew: 1/);
 });
+
+// Guards against slots for requests whose node has died before membership noticed.
+test('a waiting request that no node asks for any more is not granted', async () => {
+  // A slot that is freed at any time between two checks of the owner must not go to it.
+  for (let offset = 0; offset < 800; offset += 20) {
+    const fleet = await createFleet(['a1', 'a2'], plainPool(1));
+    const owner = fleet.owner().vm;
+    const client = owner === 'a1' ? 'a2' : 'a1';
+    const [running] = await placeMany(fleet, 4, owner);
+    void fleet.place(client, request({ promptTokens: 0 }));
+    await advance(20);
+    await fleet.kill(client);
+    await advance(2_000 + offset);
+    fleet.node(owner).scheduler.release(running!, { outcome: 'completed', latencyMs: 10 });
+    await advance(5_000);
+    expect(fleet.violations()).toEqual([]);
+    expect(fleet.node(owner).scheduler.ownedCells()[0]).toMatchObject({ freeSlots: 1, queued: 0 });
+    await fleet.kill(owner);
+  }
+});
--- a/packages/scheduler/test/support.ts
+++ b/packages/scheduler/test/support.ts
@@ -144,19 +144,21 @@
   const self = { vm, dataCentre: dataCentreId(dataCentre) };
   const own = new Map<string, PeerHandler>();
   wire.handlers.set(vm, own);
+  // A killed process neither sends nor receives, also after its VM has started another one.
+  const isDead = (): boolean => wire.handlers.get(vm) !== own;
   const send = <T>(to: VmId, method: string, params: unknown, timeoutMs: number): Promise<T> =>
     new Promise((resolve, reject) => {
       const timer = setTimeout(() => reject(createError('timeout', 'no reply')), timeoutMs);
       const message = { from: vm, to, method };
       const finish = (reply: () => void): void => {
         setTimeout(() => {
-          if (wire.lose({ ...message, isReply: true })) return;
+          if (isDead() || wire.lose({ ...message, isReply: true })) return;
           clearTimeout(timer);
           reply();
         }, LATENCY_MS);
       };
       setTimeout(() => {
-        if (wire.lose({ ...message, isReply: false })) return;
+        if (isDead() || wire.lose({ ...message, isReply: false })) return;
         const handler = wire.handlers.get(to)?.get(method);
         if (handler === undefined) {
           finish(() => reject(createError('peer_unavailable', `${to} is down`)));
