--- a/packages/scheduler/src/admission.ts
+++ b/packages/scheduler/src/admission.ts
@@ -4,7 +4,7 @@
 import { countBlocks } from './choose-model.js';
 import type { Estimates } from './estimates.js';
 import type { PlaceReply } from './messages.js';
-import { canDecode, hasAllRoles } from './partition.js';
+import { canDecode, hasAllRoles, memoryLimit } from './partition.js';
 import type { CellPlan } from './partition.js';
 import type { CellSummary, PlacementRequest } from './types.js';
 import type { ColdRights } from './upstream-state.js';
@@ -45,7 +45,7 @@
     const { pool, upstreams } = options.plan();
     if (pool.kind === 'plain') return false;
     const blocks = countBlocks(pool, entry.req);
-    return !upstreams.some((u) => canDecode(u) && u.memoryBlocks >= blocks);
+    return !upstreams.some((u) => canDecode(u) && memoryLimit(u) >= blocks);
   };
 
   const refuseUnplaceable = (entry: Waiting, mayOverflow: boolean): PlaceReply | undefined => {
--- a/packages/scheduler/src/choose-model.ts
+++ b/packages/scheduler/src/choose-model.ts
@@ -3,7 +3,7 @@
 import { applyExclusion, filterUsable } from './choose-plain.js';
 import type { Obstacle } from './choose-plain.js';
 import type { Estimates } from './estimates.js';
-import { canDecode, canPrefill } from './partition.js';
+import { canDecode, canPrefill, memoryLimit } from './partition.js';
 import { hasFreeSlot, slotLimit } from './upstream-state.js';
 import type { ColdRights, UpstreamState } from './upstream-state.js';
 import type { PlacementRequest } from './types.js';
@@ -87,7 +87,7 @@
   const open = filterUsable(all, rights, now).filter((state) => hasFreeSlot(state, rights));
   if (open.length === 0) return req.exclude.length > 0 ? 'request' : 'busy';
   const blocks = countBlocks(pool, req);
-  const fitting = open.filter((state) => state.blocks + blocks <= state.entry.memoryBlocks);
+  const fitting = open.filter((state) => state.blocks + blocks <= memoryLimit(state.entry));
   if (fitting.length === 0) return 'request';
   const prefill = choosePrefill(context, req);
   if (prefill === undefined) return req.exclude.length > 0 ? 'request' : 'busy';
--- a/packages/scheduler/src/grant-checks.ts
+++ b/packages/scheduler/src/grant-checks.ts
@@ -1,5 +1,6 @@
 /** Invariants of one upstream after a grant. Grants collected on takeover may exceed the limits. */
 import type { Invariants } from '@hibiscusbank/core';
+import { memoryLimit } from './partition.js';
 import { coldBound } from './upstream-state.js';
 import type { ColdRights, UpstreamState } from './upstream-state.js';
 
@@ -14,7 +15,7 @@
     });
   check(!state.out, 'no_grant_out_of_service');
   check(state.slots <= entry.capacity + excess, 'slots_within_capacity');
-  check(excess > 0 || state.blocks <= entry.memoryBlocks, 'memory_within_blocks');
+  check(excess > 0 || state.blocks <= memoryLimit(entry), 'memory_within_blocks');
   const bound = coldBound(state, rights);
   check(bound === undefined || state.active.size <= bound + excess, 'cold_within_bound');
 }
--- a/packages/scheduler/src/partition.ts
+++ b/packages/scheduler/src/partition.ts
@@ -77,6 +77,10 @@
 export const canPrefill = (u: UpstreamEntry): boolean => u.role === 'prefill' || u.role === 'both';
 export const canDecode = (u: UpstreamEntry): boolean => u.role === 'decode' || u.role === 'both';
 
+/** KV memory of an engine; one without declared blocks is bounded by its slots alone. */
+export const memoryLimit = (u: UpstreamEntry): number =>
+  u.memoryBlocks > 0 ? u.memoryBlocks : Infinity;
+
 /** Whether upstreams can serve requests of their pool: any server, or a prefill and a decode engine. */
 export function hasAllRoles(pool: PoolEntry, upstreams: readonly UpstreamEntry[]): boolean {
   if (pool.kind === 'plain') return upstreams.length > 0;
--- a/packages/scheduler/test/placement.test.ts
+++ b/packages/scheduler/test/placement.test.ts
@@ -153,3 +153,9 @@
   expect(error.retryAfterMs).toBeGreaterThanOrEqual(1_000);
   expect(Date.now() - started).toBeLessThan(100);
 });
+
+// Guards against engines that are never used because their table row states no memory.
+test('an engine without declared memory is bounded by its slots alone', async () => {
+  const fleet = await createFleet(['a1'], modelPool('a', { memoryBlocks: 0 }));
+  expect((await settle(fleet.place('a1', request({ promptTokens: 5_000 })))).isOk()).toBe(true);
+});
