--- a/packages/scheduler/src/admission.ts
+++ b/packages/scheduler/src/admission.ts
@@ -4,7 +4,7 @@
 import { countBlocks } from './choose-model.js';
 import type { Estimates } from './estimates.js';
 import type { PlaceReply } from './messages.js';
-import { canDecode, hasAllRoles } from './partition.js';
+import { canDecode, hasAllRoles, memoryLimit } from './partition.js';
 import type { CellPlan } from './partition.js';
 import type { CellSummary, PlacementRequest } from './types.js';
 import type { ColdRights } from './upstream-state.js';
@@ -45,7 +45,7 @@
     const { pool, upstreams } = options.plan();
     if (pool.kind === 'plain') return false;
     const blocks = countBlocks(pool, entry.req);
-    return !upstreams.some((u) => canDecode(u) && u.memoryBlocks >= blocks);
+    return !upstreams.some((u) => canDecode(u) && memoryLimit(u) >= blocks);
   };
 
   const refuseUnplaceable = (entry: Waiting, mayOverflow: boolean): PlaceReply | undefined => {
@@ -80,7 +80,8 @@
       if (unplaceable !== undefined || !options.mayGrant()) return unplaceable;
       const waitMs = waitOf(entry, now);
       const firstTokenMs = waitMs + entry.prefillMs;
-      if (mayOverflow && waitMs > 0 && firstTokenMs > entry.req.firstTokenTargetMs) {
+      const limitMs = Math.min(entry.req.firstTokenTargetMs, entry.patienceMs);
+      if (mayOverflow && waitMs > 0 && firstTokenMs > limitMs) {
         return { kind: 'overflow', summary: summary() };
       }
       // Cold upstreams without the lease give no estimate; the request waits for the lease.
