--- a/packages/core/src/events.ts
+++ b/packages/core/src/events.ts
@@ -40,7 +40,6 @@
   shareAdopted: define(1305, 'info', 'quota shares adopted'),
   adoptionPending: define(1306, 'info', 'quota adoption waits for members'),
   spendingStopped: define(1307, 'warn', 'spending stopped in isolation'),
-  spendingResumed: define(1308, 'info', 'spending resumed'),
   tokensBorrowed: define(1309, 'debug', 'tokens borrowed'),
 
   placementGranted: define(1401, 'info', 'placement granted'),
--- a/packages/quota/src/bucket.ts
+++ b/packages/quota/src/bucket.ts
@@ -40,7 +40,7 @@
   addBack(tokens: number, since: number): number;
   /** Removes and returns a part of the balance, from 0 to 1, without keeping room. */
   withdraw(part: number): number;
-  /** Milliseconds until the balance reaches `tokens` by accrual; infinite when it cannot. */
+  /** Milliseconds until the balance reaches `tokens` by accrual; infinite while it has no room. */
   msUntil(tokens: number): number;
 }
 
@@ -144,7 +144,7 @@
       refill();
       const missing = tokens - state.tokens;
       if (missing <= TOKEN_EPSILON) return 0;
-      if (state.rate <= 0 || tokens > state.capacity + TOKEN_EPSILON) return Infinity;
+      if (state.rate <= 0 || tokens > limit() + TOKEN_EPSILON) return Infinity;
       return (missing / state.rate) * MS_PER_S;
     },
   };
--- a/packages/quota/src/share.ts
+++ b/packages/quota/src/share.ts
@@ -1,11 +1,14 @@
 /** A holder's share of one organisation: its bucket, waiting debits, charges and loans. */
 import { createError, monotonicMs } from '@hibiscusbank/core';
-import type { OrganisationId, Telemetry, VmId } from '@hibiscusbank/core';
+import type { OrganisationId, Telemetry } from '@hibiscusbank/core';
 import type { Organisation } from '@hibiscusbank/configuration';
 import { TOKEN_EPSILON } from './bucket.js';
 import type { Bucket, Hold } from './bucket.js';
 import { createRecentIds } from './recent-ids.js';
-import { GRANT_VALIDITY_MS, LOAN_HOLD_MS } from './limits.js';
+import { createLentLoans } from './lent-loans.js';
+import { GRANT_VALIDITY_MS } from './limits.js';
+import { createReceivedLoans } from './received-loans.js';
+import type { ReceivedLoan, SendSettle } from './received-loans.js';
 import type {
   BorrowParams,
   BorrowReply,
@@ -39,14 +42,6 @@
   readonly hold: Hold;
 }
 
-/** Tokens of another holder, whose room that holder still keeps. */
-export interface ReceivedLoan {
-  readonly id: string;
-  readonly lender: VmId;
-  tokens: number;
-  readonly usableUntil: number;
-}
-
 export interface ShareOptions {
   readonly organisation: OrganisationId;
   readonly bucket: Bucket;
@@ -54,7 +49,7 @@
   readonly mayContinue: () => boolean;
   /** Asks for loans while `deficit` is positive. */
   readonly onDeficit: () => void;
-  readonly sendSettle: (lender: VmId, params: Omit<SettleParams, 'message'>) => void;
+  readonly sendSettle: SendSettle;
   readonly telemetry: Telemetry;
   readonly metrics: QuotaMetrics;
 }
@@ -81,17 +76,14 @@
 export function createShare(options: ShareOptions): Share {
   const { organisation, bucket, metrics, telemetry } = options;
   const charges = new Map<string, StoredCharge>();
-  const lent = new Map<string, Hold>();
+  const lent = createLentLoans(bucket);
+  const received = createReceivedLoans(organisation, options.sendSettle);
   const cancelled = createRecentIds();
   const passed = createRecentIds();
-  const loanIds = createRecentIds();
-  const settlements = createRecentIds();
   let waiting: WaitingDebit[] = [];
-  let received: ReceivedLoan[] = [];
   let timer: NodeJS.Timeout | undefined;
   let closed = false;
 
-  const sumReceived = (): number => received.reduce((sum, loan) => sum + loan.tokens, 0);
   const sumWaiting = (): number => waiting.reduce((sum, debit) => sum + debit.tokens, 0);
 
   const checkBalance = (): void => {
@@ -103,39 +95,6 @@
     );
   };
 
-  const giveBack = (loan: ReceivedLoan): void => {
-    options.sendSettle(loan.lender, {
-      organisation,
-      id: loan.id,
-      spent: 0,
-      returned: loan.tokens,
-    });
-  };
-
-  const dropLoans = (isDropped: (loan: ReceivedLoan) => boolean): void => {
-    const dropped = received.filter(isDropped);
-    received = received.filter((loan) => !dropped.includes(loan));
-    dropped.forEach(giveBack);
-  };
-
-  const spendLoan = (loan: ReceivedLoan, spent: number): void => {
-    loan.tokens -= spent;
-    const params = { organisation, id: loan.id, spent, returned: 0 };
-    // The lender keeps the room until the grant is admitted or dropped.
-    setTimeout(() => options.sendSettle(loan.lender, params), GRANT_VALIDITY_MS);
-  };
-
-  const spendLoans = (tokens: number): number => {
-    let left = tokens;
-    for (const loan of received) {
-      const part = Math.min(loan.tokens, left);
-      if (part > 0) spendLoan(loan, part);
-      left -= part;
-    }
-    received = received.filter((loan) => loan.tokens > TOKEN_EPSILON);
-    return left;
-  };
-
   const retryAfterMs = (tokensAhead: number): number => {
     const rate = options.findLimits()?.ratePerS ?? 0;
     const missing = Math.max(0, tokensAhead - bucket.balance());
@@ -144,7 +103,7 @@
   };
 
   const grant = (debit: WaitingDebit): void => {
-    const own = spendLoans(debit.tokens);
+    const own = received.spend(debit.tokens);
     const hold = bucket.take(own, GRANT_VALIDITY_MS);
     charges.set(debit.id, { tokens: debit.tokens, hold });
     const [oldest] = charges.keys();
@@ -177,7 +136,7 @@
   const grantInOrder = (): void => {
     let [head] = waiting;
     while (head !== undefined) {
-      if (bucket.balance() + sumReceived() + TOKEN_EPSILON < head.tokens) return;
+      if (bucket.balance() + received.total() + TOKEN_EPSILON < head.tokens) return;
       waiting.shift();
       grant(head);
       [head] = waiting;
@@ -188,16 +147,16 @@
     clearTimeout(timer);
     if (closed || !options.mayContinue() || closed) return;
     const now = monotonicMs();
-    dropLoans((loan) => loan.usableUntil <= now);
+    received.giveBackExpired(now);
     grantInOrder();
     refuseOverdue();
     const [head] = waiting;
     if (head === undefined) {
-      dropLoans(() => true);
+      received.giveBackAll();
       return;
     }
     const due = Math.min(RECHECK_MS, ...waiting.map((debit) => debit.deadline - now));
-    const accrued = bucket.msUntil(head.tokens - sumReceived());
+    const accrued = bucket.msUntil(head.tokens - received.total());
     timer = setTimeout(pump, Math.max(1, Math.min(due, accrued)));
     options.onDeficit();
   };
@@ -214,11 +173,6 @@
       pump();
     });
 
-  const forgetEndedLoans = (): void => {
-    const now = monotonicMs();
-    for (const [id, hold] of lent) if (hold.until <= now) lent.delete(id);
-  };
-
   return {
     organisation,
     bucket,
@@ -263,62 +217,40 @@
       pump();
     },
     lend: (params) => {
-      if (closed || !options.mayContinue() || closed || loanIds.has(params.id)) {
-        return { granted: 0, available: 0 };
-      }
-      loanIds.add(params.id);
-      forgetEndedLoans();
-      const available = Math.max(0, bucket.balance() - sumWaiting());
-      const granted = Math.min(available, params.tokens);
-      if (granted > 0) lent.set(params.id, bucket.take(granted, LOAN_HOLD_MS));
+      if (closed || !options.mayContinue() || closed) return { granted: 0, available: 0 };
+      const reply = lent.lend(params, sumWaiting());
       checkBalance();
-      return { granted, available: available - granted };
+      return reply;
     },
-    settle: ({ id, message, spent, returned }) => {
-      const hold = lent.get(id);
-      if (hold === undefined || settlements.has(message)) return;
-      settlements.add(message);
-      if (hold.until <= monotonicMs()) {
-        lent.delete(id);
-        return;
-      }
-      const back = Math.min(returned, hold.tokens);
-      bucket.shrinkHold(hold, back + Math.max(0, spent));
-      if (hold.tokens <= TOKEN_EPSILON) lent.delete(id);
-      bucket.add(back);
+    settle: (params) => {
+      lent.settle(params);
       checkBalance();
       pump();
     },
     receive: (loan) => {
       const isUsable = !closed && options.mayContinue() && monotonicMs() < loan.usableUntil;
       if (!isUsable || closed) {
-        giveBack(loan);
+        received.giveBack(loan);
         return;
       }
-      const deposited = bucket.add(loan.tokens);
-      loan.tokens -= deposited;
-      if (deposited > 0) {
-        const params = { organisation, id: loan.id, spent: deposited, returned: 0 };
-        options.sendSettle(loan.lender, params);
-      }
-      if (loan.tokens > TOKEN_EPSILON) received.push(loan);
+      received.keep(loan, bucket.add(loan.tokens));
       pump();
     },
     deficit: () => {
       const [head] = waiting;
       if (head === undefined || closed) return 0;
       const balance = bucket.balance();
-      const missing = head.tokens - balance - sumReceived();
+      const missing = head.tokens - balance - received.total();
       if (missing <= TOKEN_EPSILON) return 0;
       const prefetch = ((options.findLimits()?.ratePerS ?? 0) / MS_PER_S) * PREFETCH_MS;
-      const wanted = sumWaiting() + prefetch - balance - sumReceived();
+      const wanted = sumWaiting() + prefetch - balance - received.total();
       return Math.max(missing, Math.min(wanted, bucket.room()));
     },
     waiting: () => waiting.length,
     close: () => {
       closed = true;
       clearTimeout(timer);
-      dropLoans(() => true);
+      received.giveBackAll();
       const failed = waiting;
       waiting = [];
       failed.forEach((debit) =>
