--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -4,7 +4,7 @@
 import { createGateway } from '@hibiscusbank/gateway';
 import { createMembership, createTcpNetwork } from '@hibiscusbank/peers';
 import type { Membership } from '@hibiscusbank/peers';
-import { createLocalQuota } from '@hibiscusbank/quota';
+import { createEscrowQuota } from '@hibiscusbank/quota';
 import { createLocalScheduler } from '@hibiscusbank/scheduler';
 import type { NodeSettings } from '@hibiscusbank/settings';
 import { createAdminServer } from './admin.js';
@@ -36,7 +36,13 @@
     telemetry,
     unconfirmedKeysMs: settings.limits.unconfirmedKeysMs,
   });
-  const quota = createLocalQuota(self.vm, configuration);
+  const quota = createEscrowQuota({
+    network,
+    membership,
+    configuration,
+    objectApi: ports.objectApi,
+    telemetry,
+  });
   const scheduler = createLocalScheduler(self.vm, configuration, telemetry);
   const gateway = createGateway({
     vm: self.vm,
