--- a/packages/quota/src/adoption.ts
+++ b/packages/quota/src/adoption.ts
@@ -37,6 +37,8 @@
   advance(): Promise<void>;
   /** Whether all members have acknowledged the ring, or are fenced for long enough. */
   isAcknowledgedByAll(ring: Ring): Promise<boolean>;
+  /** Called when this VM created the ring: no earlier process can have granted anything. */
+  skipStartPause(): void;
   /** Forgets everything held, after an isolation or before leaving. */
   renounce(isForGood: boolean): void;
 }
@@ -197,6 +199,9 @@
       const round = await askAll(ring, false);
       return round.isComplete && holdings.latest()?.version === ring.version;
     },
+    skipStartPause: () => {
+      notBefore = 0;
+    },
     renounce: (isForGood) => {
       holdings.drop();
       isCurrent = false;
--- a/packages/quota/src/coordinator.ts
+++ b/packages/quota/src/coordinator.ts
@@ -23,8 +23,8 @@
   readonly latest: () => Ring | undefined;
   readonly applyRing: (dataCentre: DataCentreId, value: unknown, version: number) => void;
   readonly isAcknowledgedByAll: (ring: Ring) => Promise<boolean>;
-  /** Called when this VM created the first ring of a store that had none. */
-  readonly onFounded: () => void;
+  /** Called when this VM created the ring; `isFirst` when it is the fleet's first and only one. */
+  readonly onCreated: (isFirst: boolean) => void;
   readonly telemetry: Telemetry;
 }
 
@@ -145,22 +145,6 @@
 
   const findMemberChange = (ring: Ring): Change | undefined => findRemoval(ring) ?? findJoin(ring);
 
-  const create = async (all: readonly Ring[]): Promise<void> => {
-    const target = configuration.dataCentres();
-    if (target.length === 0) return;
-    const value: RingValue = {
-      dataCentre,
-      members: [self],
-      fenced: [],
-      left: [],
-      target,
-      settled: true,
-      divisor: 0,
-    };
-    const isFirst = all.length === 0 && isSameSet(target, [dataCentre]);
-    if ((await write(value, undefined)) && isFirst) options.onFounded();
-  };
-
   /** Whether the ring that this node knows calls for a change, before the platform is asked. */
   const needsChange = (ring: Ring | undefined): boolean => {
     if (ring === undefined) return true;
@@ -182,6 +166,26 @@
     if (change !== undefined) await write(toValue(ring, change), ring.version);
   };
 
+  const create = async (all: readonly Ring[]): Promise<void> => {
+    const target = configuration.dataCentres();
+    if (target.length === 0) return;
+    const value: RingValue = {
+      dataCentre,
+      members: [self],
+      fenced: [],
+      left: [],
+      target,
+      settled: true,
+      divisor: 0,
+    };
+    const isFirst = all.length === 0 && isSameSet(target, [dataCentre]);
+    if (!(await write(value, undefined))) return;
+    options.onCreated(isFirst);
+    const written = await readAll();
+    const own = written?.find((ring) => ring.dataCentre === dataCentre);
+    if (written !== undefined && own !== undefined) await changeOnce(own, written);
+  };
+
   return {
     step: async () => {
       const isCoordinator = membership.listLive(dataCentre)[0] === self;
--- a/packages/quota/src/escrow-quota.ts
+++ b/packages/quota/src/escrow-quota.ts
@@ -122,8 +122,9 @@
     latest: holdings.latest,
     applyRing: rings.apply,
     isAcknowledgedByAll: adoption.isAcknowledgedByAll,
-    onFounded: () => {
-      isFounder = true;
+    onCreated: (isFirst) => {
+      isFounder = isFirst;
+      adoption.skipStartPause();
     },
     telemetry,
   });
--- a/packages/quota/test/support.ts
+++ b/packages/quota/test/support.ts
@@ -9,6 +9,7 @@
   requestId,
   toRouterError,
   vmId,
+  withTimeout,
 } from '@hibiscusbank/core';
 import type { DataCentreId, Random, RouterError, VmId } from '@hibiscusbank/core';
 import type {
@@ -139,11 +140,9 @@
     timeoutMs: number,
   ): ResultAsync<T, RouterError> => {
     const send = async (): Promise<T> => {
-      const expiry = pass(timeoutMs).then(() => {
-        throw createError('timeout', `${method} to ${to}`);
-      });
       try {
-        return (await Promise.race([deliver(getNode(), to, method, params), expiry])) as T;
+        const delivery = deliver(getNode(), to, method, params) as Promise<T>;
+        return await withTimeout(delivery, timeoutMs, method);
       } finally {
         await awake(getNode());
       }
