--- a/packages/configuration/test/replicas.ts
+++ b/packages/configuration/test/replicas.ts
@@ -5,7 +5,7 @@
 import type { ConfigurationReplica, TenantKey } from '@hibiscusbank/configuration';
 import { vi } from 'vitest';
 /* eslint-disable import-x/no-relative-packages -- test helpers are not part of a package's interface */
-import { createTestFleet } from '../../peers/test/fleet.js';
+import { createTestFleet, waitUntil } from '../../peers/test/fleet.js';
 import type { TestFleet, TestNode } from '../../peers/test/fleet.js';
 /* eslint-enable import-x/no-relative-packages */
 import { createFakeObjectApi } from './fake-object-api.js';
@@ -103,3 +103,5 @@
   ratePerS,
   burst: 1,
 });
+
+export { waitUntil };
--- a/packages/peers/src/membership.ts
+++ b/packages/peers/src/membership.ts
@@ -10,7 +10,7 @@
 import { createProbeMessages } from './probe-messages.js';
 import { createProber, sample } from './prober.js';
 import { createRemoteProber } from './remote-prober.js';
-import { createSelfRecord } from './self-record.js';
+import { createSelfRecord, isUnspecified } from './self-record.js';
 import { createTableSync } from './table-sync.js';
 import type { Member, Membership, PeerIdentity, PeerNetwork, ProbePayload } from './types.js';
 import { createUpdateQueue } from './update-queue.js';
@@ -66,7 +66,10 @@
       return;
     }
     const isFirst = table.get(report.vm) === undefined;
-    const isNews = table.merge(report);
+    const peerAddress = isUnspecified(report.peerAddress)
+      ? (table.get(report.vm)?.peerAddress ?? report.peerAddress)
+      : report.peerAddress;
+    const isNews = table.merge({ ...report, peerAddress });
     // A death of a VM unknown so far is not passed on, or forgotten members would spread for ever.
     if (isNews && !(isFirst && report.state === 'dead')) queue.add(report.vm);
   };
@@ -114,9 +117,10 @@
   const followList = (vms: readonly ListedVm[]): void => {
     lastListRead = monotonicMs();
     table.applyList(vms.filter((vm) => vm.id !== self.vm));
-    const listedState = vms.find((vm) => vm.id === self.vm)?.state;
-    if (listedState === undefined || leavingByCall) return;
-    if (listedState !== ownRecord.get().state) ownRecord.setState(listedState);
+    const listed = vms.find((vm) => vm.id === self.vm);
+    if (listed === undefined) return;
+    ownRecord.learnAddress(listed.peerAddress);
+    if (!leavingByCall && listed.state !== ownRecord.get().state) ownRecord.setState(listed.state);
   };
 
   const listReader = createListReader({
--- a/packages/peers/src/self-record.ts
+++ b/packages/peers/src/self-record.ts
@@ -8,10 +8,20 @@
 export interface SelfRecord {
   get(): Member;
   setState(state: 'live' | 'leaving'): void;
+  /**
+   * Takes the address of the VM list when this process listens on all addresses and thus does not
+   * know the one at which peers reach it.
+   */
+  learnAddress(listed: string): void;
   /** Answers a report about this node; returns whether it had to be refuted. */
   hear(report: Member): boolean;
 }
 
+/** Whether an address stands for all addresses of its host. */
+export function isUnspecified(address: string): boolean {
+  return /^(?:0\.0\.0\.0|\[?::\]?):\d+$/u.test(address);
+}
+
 export interface SelfRecordOptions {
   readonly self: PeerIdentity;
   readonly address: string;
@@ -40,6 +50,10 @@
   return {
     get: () => record,
     setState: (state) => publish({ ...record, state, incarnation: record.incarnation + 1 }),
+    learnAddress: (listed) => {
+      if (!isUnspecified(record.peerAddress) || isUnspecified(listed)) return;
+      publish({ ...record, peerAddress: listed, incarnation: record.incarnation + 1 });
+    },
     hear: (report) => {
       const isOlder = report.incarnation < record.incarnation;
       const isSame = report.incarnation === record.incarnation && report.state === record.state;
