--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -1,5 +1,5 @@
 /** Assembles the modules of one node. */
-import { countTokens, createTelemetry, writeToRoarr } from '@hibiscusbank/core';
+import { countTokens, createTelemetry, sleep, writeToRoarr } from '@hibiscusbank/core';
 import { createConfigurationReplica } from '@hibiscusbank/configuration';
 import { createGateway } from '@hibiscusbank/gateway';
 import { createMembership, createTcpNetwork } from '@hibiscusbank/peers';
@@ -13,6 +13,9 @@
 import { createRecentDecisions } from './recent-decisions.js';
 import type { NodePorts, RouterNode } from './types.js';
 
+/** A draining node still serves what arrives until balancers have seen that it is not ready. */
+const READINESS_GRACE_MS = 2_000;
+
 /** Creates a node. Nothing runs before `start`. */
 export function createNode(settings: NodeSettings, ports: NodePorts): RouterNode {
   const self = { vm: settings.vm, dataCentre: settings.dataCentre };
@@ -144,8 +147,10 @@
       draining = true;
       telemetry.log('nodeDraining', { active: gateway.activeRequests() });
       gateway.beginDrain();
+      const graceEnds = sleep(READINESS_GRACE_MS);
       await membership.leave();
       await scheduler.leave();
+      await graceEnds;
       await gateway.waitUntilIdle(settings.limits.drainTimeoutMs);
       await quota.leave();
       await gateway.stop();
--- a/packages/quota/src/client.ts
+++ b/packages/quota/src/client.ts
@@ -1,6 +1,6 @@
 /** Debits and refunds on behalf of requests that reached this node. */
 import { randomUUID } from 'node:crypto';
-import { createError, monotonicMs, rankByRendezvous } from '@hibiscusbank/core';
+import { createError, monotonicMs, rankByRendezvous, sleep } from '@hibiscusbank/core';
 import type { OrganisationId, RouterError, Telemetry, VmId } from '@hibiscusbank/core';
 import type { ConfigurationReplica, Organisation } from '@hibiscusbank/configuration';
 import type { PeerNetwork } from '@hibiscusbank/peers';
@@ -17,6 +17,8 @@
 /** Holders outside the data centre that are tried when none inside answers. */
 const MAX_REMOTE_HOLDERS = 2;
 const UNREACHABLE_RETRY_MS = 1_000;
+/** Pause between two rounds over all holders. */
+const NO_HOLDER_PAUSE_MS = 100;
 
 export interface ClientOptions {
   readonly network: PeerNetwork;
@@ -126,18 +128,34 @@
     return err(createError('timeout', `the grant of holder ${holder} came too late; retry`));
   };
 
-  const run = async (req: DebitRequest, limits: Organisation): Promise<DebitResult> => {
-    const deadline = monotonicMs() + req.waitMs;
+  /** Asks the holders one after another; `undefined` when none of them could be asked. */
+  const askHolders = async (
+    req: DebitRequest,
+    limits: Organisation,
+    deadline: number,
+  ): Promise<DebitResult | undefined> => {
     for (const holder of listHolders(req, limits)) {
       const waitMs = Math.max(0, deadline - monotonicMs());
       const result = await ask(req, holder, waitMs);
       if (result.isOk() || result.error.kind === 'rate_exceeded') return result;
+      if (req.signal?.aborted || monotonicMs() >= deadline + GRANT_VALIDITY_MS) return undefined;
+    }
+    return undefined;
+  };
+
+  /** Holders can be between two rings or restarting, so the debit waits for one to answer. */
+  const run = async (req: DebitRequest, limits: Organisation): Promise<DebitResult> => {
+    const deadline = monotonicMs() + req.waitMs;
+    for (;;) {
+      const result = await askHolders(req, limits, deadline);
+      if (result !== undefined) return result;
       if (req.signal?.aborted) {
         return err(
           createError('cancelled', 'the caller cancelled the debit', { effect: 'not_run' }),
         );
       }
-      if (monotonicMs() >= deadline + GRANT_VALIDITY_MS) break;
+      if (monotonicMs() + NO_HOLDER_PAUSE_MS >= deadline) break;
+      await sleep(NO_HOLDER_PAUSE_MS, req.signal);
     }
     return err(
       createError('not_ready', `no holder of ${req.organisation}'s rate answered; retry shortly`, {
