Keep one engine free for a request that lacks memory, estimate waits from settings

A request that lacked memory for 500 ms blocked the queue, so long prompts of one organisation delayed all others. It now keeps the engine with the most free blocks; others use the rest. Until releases are reported, waits are estimated from the pool's settings instead of 100 ms. A drain waits for grants and streams together, so its time limit counts once. Tests: large request among small ones; sender of ten times its share; each fails without its rule.

--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -110,8 +110,8 @@
       draining = true;
       telemetry.log('nodeDraining', { active: gateway.activeRequests() });
       await membership.leave();
-      await scheduler.leave();
-      await gateway.waitUntilIdle(settings.limits.drainTimeoutMs);
+      // Both wait for the streams of this node, so one time limit covers them.
+      await Promise.all([scheduler.leave(), gateway.waitUntilIdle(settings.limits.drainTimeoutMs)]);
       await quota.leave();
       await gateway.stop();
       await stopAll();
--- a/packages/scheduler/src/admission.ts
+++ b/packages/scheduler/src/admission.ts
@@ -14,6 +14,8 @@
 /** Waiting requests of one cell at most; it bounds memory and the time of a dispatch. */
 export const MAX_QUEUED = 1_000;
 const OUT_RETRY_AFTER_MS = 1_000;
+/** Assumed time of a plain request until the first reports arrive. */
+const PLAIN_HOLD_MS = 100;
 
 export interface AdmissionOptions {
   readonly plan: () => CellPlan;
@@ -41,6 +43,11 @@
   const waitOf = (entry: Waiting, now: number): number =>
     estimateWaitMs(waiting.queue, entry, state.upstreams(), estimates, options.rights(), now);
 
+  const expectedHoldMs = (req: PlacementRequest): number =>
+    options.plan().pool.kind === 'plain'
+      ? PLAIN_HOLD_MS
+      : estimates.prefillMs(req.promptTokens) + estimates.decodeMs(estimates.outputTokens(req));
+
   const isTooLarge = (entry: Waiting): boolean => {
     const { pool, upstreams } = options.plan();
     if (pool.kind === 'plain') return false;
@@ -72,6 +79,7 @@
       arrivedAt: now,
       patienceMs: req.patienceMs,
       prefillMs: estimates.prefillMs(req.promptTokens),
+      holdMs: expectedHoldMs(req),
       lastAskedAt: now,
       blockedSince: undefined,
     }),
--- a/packages/scheduler/src/choose-model.ts
+++ b/packages/scheduler/src/choose-model.ts
@@ -32,6 +32,8 @@
   readonly estimates: Estimates;
   readonly rights: ColdRights;
   readonly now: number;
+  /** A decode engine whose memory is kept for a request that needs much. */
+  readonly keptFree: UpstreamState | undefined;
   readonly findCachedTokens: (state: UpstreamState, req: PlacementRequest) => number;
 }
 
@@ -70,6 +72,23 @@
   return best;
 }
 
+/** The engine that will first have the memory for a request: the one with the most free blocks. */
+export function findRoomiest(
+  states: readonly UpstreamState[],
+  blocks: number,
+): UpstreamState | undefined {
+  let best: UpstreamState | undefined;
+  let bestFree = -Infinity;
+  for (const state of states) {
+    const limit = memoryLimit(state.entry);
+    const free = limit - state.blocks;
+    if (state.out || !canDecode(state.entry) || limit < blocks || free <= bestFree) continue;
+    best = state;
+    bestFree = free;
+  }
+  return best;
+}
+
 function rankDecode(state: UpstreamState, prefillEnd: number, rights: ColdRights): number {
   const linkWaitMs = Math.max(0, state.linkFreeAt - prefillEnd);
   const free = slotLimit(state, rights) - state.slots;
@@ -81,7 +100,7 @@
 export function chooseModel(context: ModelContext, req: PlacementRequest): ModelChoice | Obstacle {
   const { pool, states, rights, now } = context;
   const all = applyExclusion(
-    states.filter((state) => canDecode(state.entry)),
+    states.filter((state) => canDecode(state.entry) && state !== context.keptFree),
     req.exclude,
   );
   const open = filterUsable(all, rights, now).filter((state) => hasFreeSlot(state, rights));
--- a/packages/scheduler/src/dispatcher.ts
+++ b/packages/scheduler/src/dispatcher.ts
@@ -4,7 +4,7 @@
 import type { UpstreamEntry } from '@hibiscusbank/settings';
 import { AUDIT_INTERVAL_MS } from './audit.js';
 import type { CellState, GrantRecord } from './cell-state.js';
-import { chooseModel, MAX_PREFILL_BACKLOG_MS } from './choose-model.js';
+import { chooseModel, countBlocks, findRoomiest, MAX_PREFILL_BACKLOG_MS } from './choose-model.js';
 import { choosePlain } from './choose-plain.js';
 import type { Obstacle } from './choose-plain.js';
 import type { Estimates } from './estimates.js';
@@ -19,7 +19,10 @@
 
 /** Requests passed over in one dispatch at most, for memory or for the upstreams they exclude. */
 const MAX_SKIPPED = 8;
-/** A request that has lacked memory for this long is no longer overtaken, so memory collects. */
+/**
+ * A request that has lacked memory for this long keeps one engine to itself until its memory is
+ * free; others use the rest of the cell.
+ */
 const MAX_OVERTAKEN_MS = 500;
 const MIN_WAKE_MS = 5;
 
@@ -61,6 +64,12 @@
   readonly states: readonly UpstreamState[];
 }
 
+/** One pass over the queue. */
+interface Pass {
+  readonly skipped: Set<Waiting>;
+  keptFree: UpstreamState | undefined;
+}
+
 const placed = ({ entry }: UpstreamState) => ({ upstream: entry.id, address: entry.address });
 
 /** Creates the dispatcher of one cell. */
@@ -74,7 +83,11 @@
       ? 0
       : options.findCachedTokens(upstream.entry.id, req.prefixHashes);
 
-  const placeModel = (req: PlacementRequest, now: number): Placement | Obstacle => {
+  const placeModel = (
+    req: PlacementRequest,
+    now: number,
+    keptFree: UpstreamState | undefined,
+  ): Placement | Obstacle => {
     const choice = chooseModel(
       {
         pool: options.plan().pool,
@@ -82,6 +95,7 @@
         estimates,
         rights: options.rights(),
         now,
+        keptFree,
         findCachedTokens,
       },
       req,
@@ -216,33 +230,40 @@
     wake = setTimeout(dispatch, Math.max(MIN_WAKE_MS, Math.ceil(nextMs)));
   };
 
+  /** Passes over an entry, which keeps an engine free when it has lacked memory for long. */
+  const passOver = (entry: Waiting, pass: Pass, now: number): void => {
+    entry.blockedSince ??= now;
+    pass.skipped.add(entry);
+    if (pass.keptFree !== undefined || now - entry.blockedSince <= MAX_OVERTAKEN_MS) return;
+    const { pool } = options.plan();
+    if (pool.kind === 'plain') return;
+    pass.keptFree = findRoomiest(state.upstreams(), countBlocks(pool, entry.req));
+  };
+
   /** Handles one entry; returns whether others may be tried after it. */
-  const tryEntry = (entry: Waiting, skipped: Set<Waiting>, now: number): boolean => {
+  const tryEntry = (entry: Waiting, pass: Pass, now: number): boolean => {
     if (!waiting.isLive(entry, now)) {
       waiting.settle(entry, { kind: 'moved' }, false);
       return true;
     }
     if (refuseLate(entry, now)) return true;
     const isPlain = options.plan().pool.kind === 'plain';
-    const placement = isPlain ? placePlain(entry.req, now) : placeModel(entry.req, now);
-    if (typeof placement !== 'string') {
-      give(entry, placement, now);
-      return true;
-    }
+    const placement = isPlain
+      ? placePlain(entry.req, now)
+      : placeModel(entry.req, now, pass.keptFree);
     if (placement === 'busy') return false;
-    entry.blockedSince ??= now;
-    skipped.add(entry);
-    const lacksMemory = entry.req.exclude.length === 0;
-    return !(lacksMemory && now - entry.blockedSince > MAX_OVERTAKEN_MS);
+    if (placement === 'request') passOver(entry, pass, now);
+    else give(entry, placement, now);
+    return true;
   };
 
   function dispatch(): void {
     if (!options.mayGrant()) return;
     const now = monotonicMs();
-    const skipped = new Set<Waiting>();
-    while (skipped.size < MAX_SKIPPED) {
-      const entry = queue.pick(now, skipped);
-      if (entry === undefined || !tryEntry(entry, skipped, now)) break;
+    const pass: Pass = { skipped: new Set(), keptFree: undefined };
+    while (pass.skipped.size < MAX_SKIPPED) {
+      const entry = queue.pick(now, pass.skipped);
+      if (entry === undefined || !tryEntry(entry, pass, now)) break;
     }
     scheduleWake(now);
   }
--- a/packages/scheduler/src/wait-estimate.ts
+++ b/packages/scheduler/src/wait-estimate.ts
@@ -6,11 +6,10 @@
 import type { ColdRights, UpstreamState } from './upstream-state.js';
 import { MAX_PREFILL_BACKLOG_MS } from './choose-model.js';
 
-/** Assumed time of a plain request until the first reports arrive. */
-const DEFAULT_HOLD_MS = 100;
-
 export interface Demand extends Queueable {
   readonly prefillMs: number;
+  /** Expected time from grant to release, used until releases have been reported. */
+  readonly holdMs: number;
 }
 
 export interface SlotCounts {
@@ -64,7 +63,7 @@
   });
   const { free, slots } = countSlots(states, rights);
   if (slots === 0) return Infinity;
-  const holdMs = estimates.holdMs() || DEFAULT_HOLD_MS;
+  const holdMs = estimates.holdMs() || demand.holdMs;
   const slotWaitMs = (Math.max(0, ahead + 1 - free) * holdMs) / slots;
   const isModel = states.some((state) => state.entry.role !== 'plain');
   const prefillMs = isModel ? prefillWaitMs(states, aheadMs, now) : 0;
--- a/packages/scheduler/test/placement.test.ts
+++ b/packages/scheduler/test/placement.test.ts
@@ -159,3 +159,72 @@
   const fleet = await createFleet(['a1'], modelPool('a', { memoryBlocks: 0 }));
   expect((await settle(fleet.place('a1', request({ promptTokens: 5_000 })))).isOk()).toBe(true);
 });
+
+/** Sends a request every `everyMs` for 10 s, holds its slot for 100 ms and counts the results. */
+function sendSteadily(fleet: Fleet, org: string, everyMs: number) {
+  const count = { sent: 0, served: 0, waitMs: 0 };
+  const { scheduler } = fleet.node('a1');
+  const sendOne = async (): Promise<void> => {
+    count.sent += 1;
+    const startedAt = Date.now();
+    const placed = await fleet.place('a1', request({ org, promptTokens: 0, patienceMs: 2_000 }));
+    if (placed.isErr()) return;
+    count.served += 1;
+    count.waitMs += Date.now() - startedAt;
+    setTimeout(
+      () => scheduler.release(placed.value, { outcome: 'completed', latencyMs: 100 }),
+      100,
+    );
+  };
+  const timer = setInterval(() => {
+    void sendOne();
+  }, everyMs);
+  setTimeout(() => clearInterval(timer), 10_000);
+  return count;
+}
+
+// Guards against light organisations that lose requests or wait in the queue of a heavy one.
+test('a sender of ten times its share leaves others as if absent', async () => {
+  const fleet = await createFleet(['a1'], plainPool(1));
+  const light = ['b', 'c', 'd'].map((org) => sendSteadily(fleet, org, 150));
+  const heavy = sendSteadily(fleet, 'heavy', 5);
+  await advance(20_000);
+  for (const { sent, served, waitMs } of light) {
+    expect(served).toBe(sent);
+    // Four slots of 100 ms: all three others may be served first, each in the next free slot.
+    expect(waitMs / served).toBeLessThanOrEqual(100);
+  }
+  expect(heavy.served).toBeLessThan(heavy.sent);
+});
+
+// Guards against long prompts that never get their memory, and that block others meanwhile.
+test('a request that needs much memory gets an engine while others use the rest', async () => {
+  const fleet = await createFleet(['a1'], modelPool('a', { memoryBlocks: 4 }));
+  const { scheduler } = fleet.node('a1');
+  const size = (org: string, promptTokens: number) =>
+    fleet.place('a1', request({ org, promptTokens, patienceMs: 20_000, maxTokens: 100 }));
+  const running = (await settle(Promise.all([1, 2, 3, 4].map(() => size('small', 900))))).map(take);
+  let isLargeServed = false;
+  void size('large', 3_500).then((result) => {
+    isLargeServed = result.isOk();
+  });
+  await advance(1_000);
+  let smallServed = 0;
+  const sendSmall = async (): Promise<void> => {
+    const result = await size('small', 900);
+    if (result.isErr()) return;
+    smallServed += 1;
+    running.push(result.value);
+  };
+  for (let i = 0; i < 20; i += 1) {
+    void sendSmall();
+    const done = running.shift();
+    if (done !== undefined) {
+      scheduler.finishPrefill(done, { outcome: 'completed' });
+      scheduler.release(done, { outcome: 'completed' });
+    }
+    await advance(300);
+  }
+  expect(isLargeServed).toBe(true);
+  expect(smallServed).toBeGreaterThan(5);
+});
