--- a/packages/scheduler/test/cells.test.ts
+++ b/packages/scheduler/test/cells.test.ts
@@ -5,6 +5,7 @@
 import {
   advance,
   createFleet,
+  modelPool,
   pool,
   request,
   settle,
@@ -286,3 +287,32 @@
     await fleet.kill(owner);
   }
 });
+
+// Guards against one data centre that gets all the work of another one that is out.
+test('requests of a data centre that is out spread over the others by capacity', async () => {
+  const fleet = await createFleet(
+    ['a1', 'b1', 'c1'],
+    pool([
+      upstream('sa', 'plain', 'a'),
+      upstream('sb', 'plain', 'b', { capacity: 60, coldLimit: 60 }),
+      upstream('sc', 'plain', 'c', { capacity: 20, coldLimit: 20 }),
+    ]),
+  );
+  fleet.setOut('a', true);
+  const servers = (await placeMany(fleet, 40)).map(serverOf);
+  const share = servers.filter((server) => server === 'sb').length / servers.length;
+  expect(share).toBeGreaterThan(0.5);
+  expect(share).toBeLessThan(0.95);
+});
+
+// Guards against grants that reconciliation cannot end after the engine has lost the request.
+test('the owner can end a grant by its request and attempt', async () => {
+  const fleet = await createFleet(['a1'], modelPool());
+  const { scheduler } = fleet.node('a1');
+  const grant = take(await settle(fleet.place('a1', request({ promptTokens: 2_000 }))));
+  expect(scheduler.listCells()).toMatchObject([{ id: grant.cell, owner: 'a1', isOwned: true }]);
+  expect(scheduler.backlogs(grant.cell)?.prefillMs).toBeGreaterThan(0);
+  scheduler.releaseByRef(grant.requestId, 1, { outcome: 'failed' });
+  expect(scheduler.isHeld(grant.requestId, 1)).toBe(false);
+  expect(scheduler.backlogs(grant.cell)?.prefillMs).toBe(0);
+});
