Keep an engine free only for requests that lack memory

A retry that waited for an engine which had not failed it counted as lacking memory and, after 500 ms, kept the freest engine from others. The two obstacles are told apart now; the test failed before the change.

--- a/packages/scheduler/src/choose-model.ts
+++ b/packages/scheduler/src/choose-model.ts
@@ -104,12 +104,12 @@
     req.exclude,
   );
   const open = filterUsable(all, rights, now).filter((state) => hasFreeSlot(state, rights));
-  if (open.length === 0) return req.exclude.length > 0 ? 'request' : 'busy';
+  if (open.length === 0) return req.exclude.length > 0 ? 'excluded' : 'busy';
   const blocks = countBlocks(pool, req);
   const fitting = open.filter((state) => state.blocks + blocks <= memoryLimit(state.entry));
-  if (fitting.length === 0) return 'request';
+  if (fitting.length === 0) return 'memory';
   const prefill = choosePrefill(context, req);
-  if (prefill === undefined) return req.exclude.length > 0 ? 'request' : 'busy';
+  if (prefill === undefined) return req.exclude.length > 0 ? 'excluded' : 'busy';
   const prefillEndMs = prefill.backlogMs + prefill.prefillMs;
   const prefillEnd = now + prefillEndMs;
   let decode: UpstreamState | undefined;
--- a/packages/scheduler/src/choose-plain.ts
+++ b/packages/scheduler/src/choose-plain.ts
@@ -3,8 +3,11 @@
 import { findObstacle, slotLimit } from './upstream-state.js';
 import type { ColdRights, UpstreamState } from './upstream-state.js';
 
-/** `request`: this request cannot be placed now, another one may be. `busy`: none can. */
-export type Obstacle = 'request' | 'busy';
+/**
+ * `memory`, `excluded`: this request lacks memory or waits for upstreams that have not failed it;
+ * another one may be placed. `busy`: none can.
+ */
+export type Obstacle = 'memory' | 'excluded' | 'busy';
 
 /**
  * Whether at least half of the upstreams fail. Then the reason is probably not in the upstreams, and
@@ -56,5 +59,5 @@
       bestLoad = load;
     }
   }
-  return best ?? (exclude.length > 0 ? 'request' : 'busy');
+  return best ?? (exclude.length > 0 ? 'excluded' : 'busy');
 }
--- a/packages/scheduler/src/dispatcher.ts
+++ b/packages/scheduler/src/dispatcher.ts
@@ -230,14 +230,12 @@
     wake = setTimeout(dispatch, Math.max(MIN_WAKE_MS, Math.ceil(nextMs)));
   };
 
-  /** Passes over an entry, which keeps an engine free when it has lacked memory for long. */
-  const passOver = (entry: Waiting, pass: Pass, now: number): void => {
+  /** Keeps an engine free for an entry that has lacked memory for long. */
+  const keepMemory = (entry: Waiting, pass: Pass, now: number): void => {
     entry.blockedSince ??= now;
-    pass.skipped.add(entry);
     if (pass.keptFree !== undefined || now - entry.blockedSince <= MAX_OVERTAKEN_MS) return;
-    const { pool } = options.plan();
-    if (pool.kind === 'plain') return;
-    pass.keptFree = findRoomiest(state.upstreams(), countBlocks(pool, entry.req));
+    const blocks = countBlocks(options.plan().pool, entry.req);
+    pass.keptFree = findRoomiest(state.upstreams(), blocks);
   };
 
   /** Handles one entry; returns whether others may be tried after it. */
@@ -252,8 +250,12 @@
       ? placePlain(entry.req, now)
       : placeModel(entry.req, now, pass.keptFree);
     if (placement === 'busy') return false;
-    if (placement === 'request') passOver(entry, pass, now);
-    else give(entry, placement, now);
+    if (typeof placement === 'string') {
+      pass.skipped.add(entry);
+      if (placement === 'memory') keepMemory(entry, pass, now);
+      return true;
+    }
+    give(entry, placement, now);
     return true;
   };
 
--- a/packages/scheduler/test/placement.test.ts
+++ b/packages/scheduler/test/placement.test.ts
@@ -228,3 +228,19 @@
   expect(isLargeServed).toBe(true);
   expect(smallServed).toBeGreaterThan(5);
 });
+
+// Guards against an engine kept free for a retry that only waits for another engine.
+test('a retry that excludes an engine does not keep it from others', async () => {
+  const fleet = await createFleet(['a1'], modelPool('a', { capacity: 1, coldLimit: 1 }));
+  const { scheduler } = fleet.node('a1');
+  const place = (extra = {}) => fleet.place('a1', request({ patienceMs: 5_000, ...extra }));
+  const running = (await settle(Promise.all([place(), place()]))).map(take);
+  running.forEach((grant) => scheduler.finishPrefill(grant, { outcome: 'completed' }));
+  const freed = running.find((grant) => serverOf(grant) === 'd1');
+  void place({ exclude: [upstreamId('d1')] });
+  await advance(100);
+  scheduler.release(freed!, { outcome: 'completed' });
+  await advance(1_000);
+  // The retry waits longer than this request does.
+  expect((await settle(place({ patienceMs: 1_000 }))).isOk()).toBe(true);
+});
