--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -149,9 +149,12 @@
       gateway.beginDrain();
       const graceEnds = sleep(READINESS_GRACE_MS);
       await membership.leave();
-      await scheduler.leave();
-      await graceEnds;
-      await gateway.waitUntilIdle(settings.limits.drainTimeoutMs);
+      // Both wait for the streams of this node, so one time limit covers them.
+      const { drainTimeoutMs } = settings.limits;
+      await Promise.all([
+        scheduler.leave(),
+        graceEnds.then(() => gateway.waitUntilIdle(drainTimeoutMs)),
+      ]);
       await quota.leave();
       await gateway.stop();
       await stopAll();
