--- a/packages/quota/test/support.ts
+++ b/packages/quota/test/support.ts
@@ -36,6 +36,8 @@
   alive: boolean;
   paused: boolean;
   leaving: boolean;
+  /** Messages that wait until the node is no longer paused. */
+  readonly held: (() => void)[];
   lastContact: number;
   readonly quota: Quota;
   readonly handlers: Map<string, PeerHandler>;
@@ -102,7 +104,11 @@
     });
   };
   const awake = async (node: TestNode): Promise<void> => {
-    while (node.paused) await pass(100);
+    while (node.paused) {
+      await new Promise<void>((resolve) => {
+        node.held.push(resolve);
+      });
+    }
     if (!node.alive) await new Promise(() => {});
   };
 
@@ -218,6 +224,7 @@
       alive: true,
       paused: false,
       leaving: false,
+      held: [],
       lastContact: monotonicMs(),
       quota,
       handlers,
@@ -242,6 +249,7 @@
     for (const node of nodes.values()) {
       node.faults.down = !reachesPlatform(node) || node.paused;
       if (!node.alive || node.paused) continue;
+      node.held.splice(0).forEach((deliverHeld) => deliverHeld());
       const peers = [...nodes.values()].filter(
         (peer) => peer !== node && peer.alive && !peer.paused && isLinked(node.vm, peer.vm),
       );
