--- a/packages/quota/src/share.ts
+++ b/packages/quota/src/share.ts
@@ -23,7 +23,7 @@
 /** Holds end and loans arrive while a debit waits; it looks again this often. */
 const RECHECK_MS = 50;
 /** A loan also covers what the organisation's rate yields in this time. */
-const PREFETCH_MS = 100;
+const PREFETCH_MS = 400;
 const MS_PER_S = 1_000;
 /** Retry-After of an organisation whose rate is 0. */
 const NO_RATE_RETRY_MS = 60_000;
