Count a VM's absence from the list only while it is observed

A VM that became coordinator again counted the 60 s before a removal from an absence that had ended meanwhile, and removed a VM at once. Every VM now observes the list each second, and a gap of over 5 s forgets what was observed.

--- a/packages/quota/src/coordinator.ts
+++ b/packages/quota/src/coordinator.ts
@@ -16,6 +16,9 @@
 import type { Ring, RingValue } from './ring.js';
 import { RING_PREFIX } from './rings.js';
 
+/** After a longer gap between two observations nothing is known about the time in between. */
+const MAX_OBSERVATION_GAP_MS = 5_000;
+
 export interface CoordinatorOptions {
   readonly objectApi: ObjectApi;
   readonly membership: Membership;
@@ -44,6 +47,7 @@
   const unlistedSince = new Map<VmId, number>();
   const fencedSince = new Map<VmId, number>();
   const key = configurationKeys.ring(dataCentre);
+  let observedAt = monotonicMs();
 
   const report = (error: RouterError): void =>
     telemetry.log('ringChangeFailed', { error: error.message });
@@ -145,11 +149,22 @@
 
   const findMemberChange = (ring: Ring): Change | undefined => findRemoval(ring) ?? findJoin(ring);
 
+  /** Runs on every VM, so that a new coordinator does not count from an older absence. */
+  const observe = (ring: Ring | undefined): void => {
+    const now = monotonicMs();
+    if (now - observedAt > MAX_OBSERVATION_GAP_MS) {
+      unlistedSince.clear();
+      fencedSince.clear();
+    }
+    observedAt = now;
+    if (ring === undefined) return;
+    trackUnlisted(ring);
+    trackFenced(ring);
+  };
+
   /** Whether the ring that this node knows calls for a change, before the platform is asked. */
   const needsChange = (ring: Ring | undefined): boolean => {
     if (ring === undefined) return true;
-    trackUnlisted(ring);
-    trackFenced(ring);
     const change = findTarget(ring) ?? findMemberChange(ring) ?? findExpiredFence(ring);
     const isUnsettled = ring.target.length > 0 && !ring.settled;
     return change !== undefined || isUnsettled || ring.divisor !== desiredDivisor(ring);
@@ -188,6 +203,7 @@
 
   return {
     step: async () => {
+      observe(options.latest());
       const isCoordinator = membership.listLive(dataCentre)[0] === self;
       if (!isCoordinator || !configuration.isReady() || !needsChange(options.latest())) return;
       const all = await readAll();
--- a/packages/quota/test/ring.test.ts
+++ b/packages/quota/test/ring.test.ts
@@ -191,3 +191,19 @@
   expect((await debit).result.isErr()).toBe(true);
   expect(fleet.totalBalance()).toBeCloseTo(before);
 });
+
+test('an old absence does not count when a VM is dropped from the list again', async () => {
+  await startFilled({ a: ['a1', 'a2', 'a3'] });
+  const coordinator = fleet.get('a1');
+  fleet.kill('a3');
+  fleet.listed.delete(fleet.get('a3').vm);
+  await fleet.run(2_000);
+  coordinator.paused = true;
+  fleet.startNode('a3');
+  await fleet.run(70_000);
+  fleet.kill('a3');
+  fleet.listed.delete(fleet.get('a3').vm);
+  coordinator.paused = false;
+  await fleet.run(20_000);
+  expect(readRing('a')?.members).toContain('a3');
+});
