Wait until peers know that a VM leaves; close connections without hello

Cause: a node that drained without running requests stopped before its announcement was sent, and its peers took it for live until it was declared dead (seen with four nodes over TCP). Connections that never say hello stayed open for 300 s.

Change: leave() resolves when up to three peers have answered; a connection without hello is closed after 5 s.

--- a/packages/configuration/test/replica.test.ts
+++ b/packages/configuration/test/replica.test.ts
@@ -12,6 +12,9 @@
 
 let setup: ReplicaFleet;
 
+// Many simulated seconds take long on a busy machine; only simulated time decides a test.
+vi.setConfig({ testTimeout: 120_000 });
+
 beforeEach(() => {
   vi.useFakeTimers();
   setup = createReplicaFleet();
--- a/packages/peers/src/failure-detector.ts
+++ b/packages/peers/src/failure-detector.ts
@@ -33,8 +33,8 @@
   tick(): void;
   /** Starts or ends the suspicion of a member after a change of its state. */
   observe(member: Member): void;
-  /** Probes a few random peers at once. */
-  probeSome(): void;
+  /** Probes a few random peers at once; resolves when they answered or failed to. */
+  probeSome(): Promise<void>;
 }
 
 export interface FailureDetectorOptions {
@@ -121,9 +121,10 @@
     }
   };
 
-  const probeSome = (): void => {
+  const probeSome = async (): Promise<void> => {
     const alive = listOthers().filter((m) => m.state !== 'dead');
-    for (const target of sample(alive, WAKE_PROBES, random)) void prober.probe(target, 'direct');
+    const targets = sample(alive, WAKE_PROBES, random);
+    await Promise.all(targets.map((target) => prober.probe(target, 'direct')));
   };
 
   /** Peers had no chance to refute towards a paused process: their suspicion starts again. */
@@ -132,7 +133,7 @@
     options.metrics.pauses.inc();
     options.telemetry.log('processPaused', { gapMs: Math.round(gapMs) });
     for (const vm of deadlines.keys()) deadlines.set(vm, now + SUSPICION_MS);
-    probeSome();
+    void probeSome();
   };
 
   return {
--- a/packages/peers/src/membership.ts
+++ b/packages/peers/src/membership.ts
@@ -186,7 +186,7 @@
     leave: async () => {
       leavingByCall = true;
       ownRecord.setState('leaving');
-      detector.probeSome();
+      await detector.probeSome();
     },
     stop,
   };
--- a/packages/peers/src/tcp-network.ts
+++ b/packages/peers/src/tcp-network.ts
@@ -13,6 +13,7 @@
 import type { CallOptions, PeerHandler, PeerIdentity, PeerNetwork } from './types.js';
 
 const CONNECT_TIMEOUT_MS = 1_000;
+const HELLO_TIMEOUT_MS = 5_000;
 
 /** Calls in this time after a failed connection fail at once, so that retries do not dial in a loop. */
 const RECONNECT_PAUSE_MS = 200;
@@ -85,6 +86,15 @@
     return connection;
   };
 
+  /** Closes a connection that does not say hello, so that strangers cannot use up sockets. */
+  const acceptSocket = (socket: Socket): void => {
+    const connection = attach(socket);
+    const expiry = setTimeout(() => {
+      if (connection.peer === undefined) connection.close('no hello from the peer');
+    }, HELLO_TIMEOUT_MS);
+    socket.once('close', () => clearTimeout(expiry));
+  };
+
   const runHandler = async (
     handler: PeerHandler,
     params: unknown,
@@ -173,7 +183,7 @@
       ),
     start: () =>
       new Promise((resolve, reject) => {
-        server = createServer(attach);
+        server = createServer(acceptSocket);
         server.once('error', reject);
         server.listen(options.listen.port, options.listen.host, () => resolve());
       }),
