--- /dev/null
+++ b/packages/bench/src/soak/fake-upstreams.ts
@@ -0,0 +1,110 @@
+/** Plain upstreams in memory, and the upstream port of a node to them. */
+import { Readable } from 'node:stream';
+import { buffer } from 'node:stream/consumers';
+import { createError } from '@hibiscusbank/core';
+import type { RouterError } from '@hibiscusbank/core';
+import { classifyStatus } from '@hibiscusbank/engines';
+import type { UpstreamAnswer, UpstreamCall, UpstreamPort } from '@hibiscusbank/engines';
+import type { UpstreamEntry } from '@hibiscusbank/settings';
+import { createUpstreamCore, UPSTREAM_DEFAULTS } from '@hibiscusbank/standins';
+import type { UpstreamCore } from '@hibiscusbank/standins';
+import { err, ok } from 'neverthrow';
+import type { Result } from 'neverthrow';
+import { callBackEnd } from './calls.js';
+import type { BackEndAccess } from './calls.js';
+import { runOutside } from './process.js';
+
+const SERVICE_MS = 40;
+
+export interface FakeUpstream {
+  readonly entry: UpstreamEntry;
+  readonly core: UpstreamCore;
+  refusing: boolean;
+}
+
+export interface FakeUpstreams {
+  list(): readonly FakeUpstream[];
+  find(address: string): FakeUpstream | undefined;
+}
+
+/** Runs before the upstream begins with a request. */
+export type UpstreamObserver = (upstream: FakeUpstream, call: UpstreamCall) => void;
+
+/** Creates the servers of a plain pool. */
+export function createFakeUpstreams(
+  entries: readonly UpstreamEntry[],
+  seed: number,
+): FakeUpstreams {
+  const upstreams = new Map<string, FakeUpstream>();
+  for (const entry of entries) {
+    const setRefusing = (refusing: boolean): void => {
+      const upstream = upstreams.get(entry.address);
+      if (upstream !== undefined) upstream.refusing = refusing;
+    };
+    const options = {
+      ...UPSTREAM_DEFAULTS,
+      serviceMs: SERVICE_MS,
+      distribution: 'exponential' as const,
+      seed,
+      capacity: entry.capacity,
+      coldLimit: entry.coldLimit,
+      coldMs: entry.coldStepMs,
+      coldAnswer: 'not_run' as const,
+    };
+    const core = runOutside(() => createUpstreamCore(options, setRefusing));
+    upstreams.set(entry.address, { entry, core, refusing: false });
+  }
+  return { list: () => [...upstreams.values()], find: (address) => upstreams.get(address) };
+}
+
+const broken = (address: string): RouterError =>
+  createError('upstream_failed', `${address} closed the connection`, { effect: 'unknown' });
+
+async function drainBody(call: UpstreamCall): Promise<void> {
+  if (call.body instanceof Readable) await buffer(call.body);
+}
+
+async function send(
+  upstream: FakeUpstream | undefined,
+  call: UpstreamCall,
+  observe: UpstreamObserver,
+): Promise<Result<UpstreamAnswer, RouterError>> {
+  if (upstream === undefined || upstream.refusing) {
+    const message = `${call.address} refuses connections`;
+    return err(createError('upstream_failed', message, { effect: 'not_run' }));
+  }
+  await drainBody(call);
+  await upstream.core.gate.whenOpen();
+  const before = upstream.core.readState().runs;
+  const key = call.headers['idempotency-key'];
+  const pending = upstream.core.run({
+    requestId: String(call.headers['x-request-id']),
+    idempotencyKey: key === undefined ? undefined : String(key),
+  });
+  if (upstream.core.readState().runs > before) observe(upstream, call);
+  const outcome = await pending;
+  if (outcome === 'cut') return err(broken(call.address));
+  if (outcome === 'cold_not_run' || outcome === 'cold_failed') {
+    const notRun = outcome === 'cold_not_run' ? { 'x-not-run': '1' } : {};
+    return err(classifyStatus(503, { 'x-cold-start': '1', ...notRun }, call.address));
+  }
+  return ok({
+    status: 200,
+    headers: { 'content-type': 'text/plain' },
+    body: Readable.from([Buffer.from(`done ${String(call.headers['x-soak-call'])}`)]),
+  });
+}
+
+/** Creates the upstream port of one process. */
+export function createUpstreamPort(
+  upstreams: FakeUpstreams,
+  access: BackEndAccess,
+  observe: UpstreamObserver,
+): UpstreamPort {
+  return {
+    send: (call) => {
+      const upstream = upstreams.find(call.address);
+      return callBackEnd(access, upstream?.entry, call.signal, () => send(upstream, call, observe));
+    },
+  };
+}
