Keep the adaptive limit a number when a response takes no measurable time

A response within the resolution of the clock has a latency of 0. With it the gradient became 0/0, and the limit of the upstream stayed NaN, so that the cell gave it no further grant until its owner changed. Bad capacities in the edited pools table were ruled out: the entry had a valid capacity and the limit was NaN after a single recorded 0.

--- a/packages/scheduler/src/latency-monitor.ts
+++ b/packages/scheduler/src/latency-monitor.ts
@@ -38,7 +38,9 @@
     // A falling latency moves the baseline at once, so that a loaded start does not raise it.
     const weight = latency < baseline ? RECENT_WEIGHT : BASELINE_WEIGHT;
     baseline += weight * (latency - baseline);
-    const gradient = Math.max(MIN_GRADIENT, Math.min(1, (TOLERANCE * baseline) / recent));
+    // Responses within the resolution of the clock have a latency of 0.
+    const ratio = recent > 0 ? (TOLERANCE * baseline) / recent : 1;
+    const gradient = Math.max(MIN_GRADIENT, Math.min(1, ratio));
     const target = limit * gradient + Math.sqrt(limit);
     const next = limit + RECENT_WEIGHT * (target - limit);
     // An idle upstream proves nothing about a higher limit.
