--- a/packages/bench/src/soak/apply-command.ts
+++ b/packages/bench/src/soak/apply-command.ts
@@ -12,6 +12,10 @@
 const MAX_PAUSE_MS = 20_000;
 const MIN_PAUSE_MS = 200;
 const FAULT_MS = 4_000;
+/** Some answers run for longer than the time after which holds of lost requests are cancelled. */
+const LONG_ANSWER = 800;
+const SHORT_ANSWER = 60;
+const LONG_EVERY = 3;
 const IDEMPOTENCY_KEYS = 6;
 const HEAVY_KEYS = KEYS.filter(({ entry }) => entry.organisation === 'heavy');
 
@@ -42,7 +46,7 @@
     kind,
     key,
     promptTokens: 8 + ((a * 7) % 900),
-    maxTokens: 1 + (b % 60),
+    maxTokens: 1 + (b % (a % LONG_EVERY === 0 ? LONG_ANSWER : SHORT_ANSWER)),
     repeat: b % IDEMPOTENCY_KEYS,
   });
 }
--- a/packages/bench/src/soak/hold-checks.ts
+++ b/packages/bench/src/soak/hold-checks.ts
@@ -29,7 +29,7 @@
     if (call === undefined || call.connection !== undefined) return;
     const goneAt = Math.max(
       call.endedAtMs ?? nowMs(),
-      disturbances.lastAnyMs(),
+      disturbances.lastSplitMs(),
       lastFault.get(engine) ?? 0,
     );
     if (nowMs() - goneAt <= MAX_ORPHAN_MS || reported.has(what)) return;
