Release the grant of a resumed stream that ends before its adoption

A stream that the engine has whole ends at once, before the owner's reply to cell.adopt. The release found no grant yet, and the reply then filed a grant for a request that no longer existed; the audit kept it alive, so the owner lost a slot until it moved. The release now waits for the adoption, without delaying the answer. A lost release was ruled out: no release was ever sent.

--- a/packages/gateway/src/resume-stream.ts
+++ b/packages/gateway/src/resume-stream.ts
@@ -43,6 +43,8 @@
 
 interface ResumeEnd {
   readonly attempt: number;
+  /** Resolves when this node has the grant of the stream, or cannot get it. */
+  readonly adoption: Promise<void>;
   readonly result: Result<void, RouterError>;
 }
 
@@ -58,6 +60,7 @@
   const { options, req, progress, writer } = context;
   const guard = createStallGuard(req.signal, tokenGapLimitMs(req), 'resumed stream');
   let attempt = 1;
+  let adoption = Promise.resolve();
   let isFirst = true;
   const result = await options.engines.resume({
     requestId: position.requestId,
@@ -68,7 +71,7 @@
     onOwner: (owner) => {
       if (owner.organisation === req.organisation) {
         attempt = owner.attempt;
-        void options.scheduler.adopt(position.requestId, attempt, engine.id);
+        adoption = options.scheduler.adopt(position.requestId, attempt, engine.id);
         return undefined;
       }
       return createError('forbidden', 'the stream belongs to another organisation', {
@@ -90,7 +93,20 @@
     },
   });
   guard.stop();
-  return { attempt, result: progress.finished ? ok(undefined) : result };
+  return { attempt, adoption, result: progress.finished ? ok(undefined) : result };
+}
+
+/** A stream that the engine has whole ends before the adoption of its grant, hence the wait. */
+async function releaseAdopted(
+  { options, req }: ModelContext,
+  position: StreamPosition,
+  { attempt, adoption, result }: ResumeEnd,
+): Promise<void> {
+  await adoption;
+  const grant = options.scheduler.findGrant(position.requestId, attempt);
+  if (grant === undefined) return;
+  const outcome = result.isOk() ? 'completed' : toGrantOutcome(result.error, req.signal);
+  options.scheduler.release(grant, { outcome, upstream: position.engine });
 }
 
 async function resume(
@@ -105,15 +121,12 @@
     'the stream is no longer kept; send the request again without Last-Event-ID',
   );
   if (engine === undefined) return err({ error: gone, effect: 'unknown' });
-  const { attempt, result } = await readStream(context, position, engine);
+  const end = await readStream(context, position, engine);
+  const { attempt, result } = end;
   if (result.isErr() && result.error.kind !== 'forbidden') {
     void options.engines.cancel(engine.address, { requestId: position.requestId, attempt });
   }
-  const grant = options.scheduler.findGrant(position.requestId, attempt);
-  if (grant !== undefined) {
-    const outcome = result.isOk() ? 'completed' : toGrantOutcome(result.error, req.signal);
-    options.scheduler.release(grant, { outcome, upstream: engine.id });
-  }
+  void releaseAdopted(context, position, end);
   if (result.isOk()) return ok(undefined);
   if (req.signal.aborted) return err({ error: describeAbort(req.signal), effect: 'unknown' });
   if (result.error.kind === 'forbidden') return err({ error: result.error, effect: 'not_run' });
--- a/packages/gateway/test/resume.test.ts
+++ b/packages/gateway/test/resume.test.ts
@@ -1,8 +1,9 @@
-import { createError, poolId, upstreamId } from '@hibiscusbank/core';
+import { createError, grantId, poolId, upstreamId } from '@hibiscusbank/core';
 import type { EnginePort, ResumeCall, TokenEvent } from '@hibiscusbank/engines';
 import type { PoolEntry } from '@hibiscusbank/settings';
+import type { Grant, Scheduler } from '@hibiscusbank/scheduler';
 import { errAsync, okAsync } from 'neverthrow';
-import { expect, test } from 'vitest';
+import { expect, test, vi } from 'vitest';
 import { parseEventId, serveResumedStream } from '../src/resume-stream.js';
 import { createRetryBudget } from '../src/retry-budget.js';
 import {
@@ -31,7 +32,10 @@
   }));
 }
 
-function arrange(resume: (call: ResumeCall) => ReturnType<EnginePort['resume']>) {
+function arrange(
+  resume: (call: ResumeCall) => ReturnType<EnginePort['resume']>,
+  changes: Partial<Scheduler> = {},
+) {
   const fake = createFakeEngines((call) => {
     emitTokens(call, 8, true);
     return undefined;
@@ -40,12 +44,13 @@
   const writer = createFakeWriter();
   const options = createOptions({
     engines: { ...fake.engines, resume },
-    scheduler: scheduler.scheduler,
+    scheduler: { ...scheduler.scheduler, ...changes },
     configuration: createFakeConfiguration({ pools: () => new Map([[pool.id, pool]]) }),
   });
   const context = createModelContext(options, createAdmitted(), writer);
   return {
     ...fake,
+    ...scheduler,
     writer,
     serve: () => serveResumedStream(context, createRetryBudget(), position),
   };
@@ -105,3 +110,31 @@
     effect: 'unknown',
   });
 });
+
+test('a grant that is adopted after the end of its stream is released', async () => {
+  const grant = { id: grantId('grant-7') } as Grant;
+  const found: Grant[] = [];
+  let adopted = (): void => {};
+  const adopt = (): Promise<void> =>
+    new Promise((resolve) => {
+      adopted = () => {
+        found.push(grant);
+        resolve();
+      };
+    });
+  const bench = arrange(
+    (call) => {
+      call.onOwner(owner);
+      call.onTokens(tokens(0, 6, true));
+      return okAsync(undefined);
+    },
+    { adopt, findGrant: () => found[0] },
+  );
+  await bench.serve();
+
+  adopted();
+
+  await vi.waitFor(() => {
+    expect(bench.released).toMatchObject([{ grant, report: { outcome: 'completed' } }]);
+  });
+});
