--- /dev/null
+++ b/packages/bench/src/harness/load-windows.ts
@@ -0,0 +1,41 @@
+/** A long load in windows of one second, so that goodput is known over time. */
+import { runLoad } from '@hibiscusbank/standins';
+import type { LoadOptions, LoadReport } from '@hibiscusbank/standins';
+
+export const WINDOW_S = 1;
+const MS_PER_S = 1_000;
+const SEED_STEP = 1_000;
+
+export interface LoadWindow {
+  /** Start of the arrivals by `performance.now()`. */
+  readonly startedAtMs: number;
+  readonly report: LoadReport;
+}
+
+export interface WindowedLoad {
+  /** Ends the arrivals and resolves with all windows when their answers have ended. */
+  end(): Promise<readonly LoadWindow[]>;
+}
+
+/** Starts the load. Each window has its own sequence of requests. */
+export function startWindowedLoad(options: Omit<LoadOptions, 'seconds'>): WindowedLoad {
+  const windows: Promise<LoadWindow>[] = [];
+  let ended = false;
+  const open = (): void => {
+    const startedAtMs = performance.now();
+    const seed = options.seed * SEED_STEP + windows.length;
+    const report = runLoad({ ...options, seconds: WINDOW_S, seed });
+    windows.push(report.then((done) => ({ startedAtMs, report: done })));
+  };
+  open();
+  const timer = setInterval(() => {
+    if (!ended) open();
+  }, WINDOW_S * MS_PER_S);
+  return {
+    end: () => {
+      ended = true;
+      clearInterval(timer);
+      return Promise.all(windows);
+    },
+  };
+}
--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -3,12 +3,14 @@
 import { runControl } from './benches/control.js';
 import { runHandoff } from './benches/handoff.js';
 import { runRelay } from './benches/relay.js';
+import { runZone } from './benches/zone.js';
 import type { Bench } from './types.js';
 
 const benches: Record<string, Bench> = {
   control: runControl,
   handoff: runHandoff,
   relay: runRelay,
+  zone: runZone,
 };
 
 const EXIT_BROKEN = 1;
