Add the bench faults

Nodes killed, engines and upstreams failing, lost answers and a platform outage of 20 s under requests of all kinds. It compares what callers saw with the run counters of the upstreams. The stand-ins export the planner and the sender of the load tool, so that the bench sees each exchange.

--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -1,10 +1,11 @@
 /** Entry point of the benches: `npm run -s bench -- NAME [--seed N] [--seconds T]`. */
 import { command, number, oneOf, option, positional, run } from 'cmd-ts';
 import { runControl } from './benches/control.js';
+import { runFaults } from './benches/faults.js';
 import { runRelay } from './benches/relay.js';
 import type { Bench } from './types.js';
 
-const benches: Record<string, Bench> = { control: runControl, relay: runRelay };
+const benches: Record<string, Bench> = { control: runControl, faults: runFaults, relay: runRelay };
 
 const EXIT_BROKEN = 1;
 
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -22,3 +22,8 @@
 export * from './load/defaults.js';
 export { runLoad } from './load/run-load.js';
 export * from './load/types.js';
+export { createRequestPlanner } from './load/plan-request.js';
+export type { PlannedRequest } from './load/plan-request.js';
+export { sendRequest } from './load/send-request.js';
+export { createTargets } from './load/targets.js';
+export type { Targets } from './load/targets.js';
