--- a/packages/bench/src/benches/faults-checks.ts
+++ b/packages/bench/src/benches/faults-checks.ts
@@ -162,6 +162,21 @@
   return counts;
 }
 
+const BUCKET_MS = 2_000;
+
+/** Answered and refused requests of every route in steps of the time of arrival. */
+export function formatTimeline(records: readonly TrafficRecord[]): readonly string[] {
+  const startMs = records[0]?.arrivedAtMs ?? 0;
+  const buckets: TrafficRecord[][] = [];
+  for (const record of records) {
+    const index = Math.floor((record.arrivedAtMs - startMs) / BUCKET_MS);
+    buckets[index] = [...(buckets[index] ?? []), record];
+  }
+  return buckets.map(
+    (bucket, i) => `from ${(i * BUCKET_MS) / 1_000} s: ${JSON.stringify(countEndings(bucket))}`,
+  );
+}
+
 /** How often each reason of a refusal occurred, without the names in it. */
 export function countReasons(records: readonly TrafficRecord[]): Record<string, number> {
   const counts: Record<string, number> = {};
--- a/packages/bench/src/benches/faults.ts
+++ b/packages/bench/src/benches/faults.ts
@@ -9,7 +9,13 @@
 import type { TrafficOptions, TrafficRecord } from '../harness/traffic.js';
 import { collectViolations } from '../harness/violations.js';
 import type { Bench, BenchOptions } from '../types.js';
-import { checkRecords, countEndings, countReasons, readUpstreamLog } from './faults-checks.js';
+import {
+  checkRecords,
+  countEndings,
+  countReasons,
+  formatTimeline,
+  readUpstreamLog,
+} from './faults-checks.js';
 import type { FaultFigures } from './faults-checks.js';
 import { createFaultSchedule } from './faults-schedule.js';
 import type { Kill } from './faults-schedule.js';
@@ -123,6 +129,7 @@
     for (const [route, counts] of Object.entries(endings)) {
       print(`${route}: ${JSON.stringify(counts)}`);
     }
+    for (const line of formatTimeline(run.records)) print(line);
     for (const line of [...figures.unanswered, ...figures.untrueNotRun].slice(0, MAX_SHOWN)) {
       print(line);
     }
--- /dev/null
+++ b/packages/bench/src/benches/tenants.ts
@@ -0,0 +1,231 @@
+/** Heavy and light organisations share a site that loses a node, then a data centre's links. */
+import { dataCentreId, organisationId, sleep } from '@hibiscusbank/core';
+import type { OrganisationId } from '@hibiscusbank/core';
+import { MODEL_ROUTE_DEFAULTS, runLoad, startEngine } from '@hibiscusbank/standins';
+import type {
+  EngineStandin,
+  LoadReport,
+  LoadSummary,
+  ModelRoute,
+  Range,
+} from '@hibiscusbank/standins';
+import { startLibrarySite } from '../harness/library-site.js';
+import type { LibrarySite } from '../harness/library-site.js';
+import { keyOf, writeTables } from '../harness/site.js';
+import { createPoolEntry, createRouteEntry, createUpstreamEntry } from '../harness/tables.js';
+import type { Bench, BenchOptions } from '../types.js';
+import { createLedger, findWorstWindow } from './tenants-ledger.js';
+import type { Ledger } from './tenants-ledger.js';
+
+const DATA_CENTRES = ['dc-a', 'dc-b', 'dc-c'];
+const NODES = 6;
+const LIMITS = { ratePerS: 1_200, burst: 4_800 };
+const PROMPT_TOKENS: Range = [50, 200];
+const ANSWER_TOKENS: Range = [20, 80];
+const PATIENCE_MS = 2_000;
+const HEAVY_FACTOR = 5;
+const SETTLE_MS = 8_000;
+const MS_PER_S = 1_000;
+const DRAIN_S = 3;
+const PHASES = 3;
+const ALONE_SHARE = 0.2;
+const FAULT_SHARE = 0.4;
+/** Parts of a phase at which its fault begins and ends. */
+const FAULT_FROM = 0.2;
+const FAULT_TO = 0.6;
+
+interface Tenant {
+  readonly id: OrganisationId;
+  /** Tokens sent over the tokens allowed. */
+  readonly load: number;
+}
+
+const LIGHT: readonly Tenant[] = [
+  { id: organisationId('light-1'), load: 0.6 },
+  { id: organisationId('light-2'), load: 0.7 },
+  { id: organisationId('light-3'), load: 0.8 },
+];
+const HEAVY: readonly Tenant[] = [
+  { id: organisationId('heavy-1'), load: HEAVY_FACTOR },
+  { id: organisationId('heavy-2'), load: HEAVY_FACTOR },
+];
+const TENANTS = [...LIGHT, ...HEAVY];
+
+/** Mean of a range that is drawn evenly on a logarithmic scale. */
+const meanOf = ([min, max]: Range): number => (max - min) / Math.log(max / min);
+
+const REQUESTS_PER_S = LIMITS.ratePerS / (meanOf(PROMPT_TOKENS) + meanOf(ANSWER_TOKENS));
+
+const ROUTE: ModelRoute = {
+  ...MODEL_ROUTE_DEFAULTS,
+  model: 'scribe',
+  promptTokens: PROMPT_TOKENS,
+  answerTokens: ANSWER_TOKENS,
+};
+
+async function startEngines(): Promise<readonly (EngineStandin & { dataCentre: string })[]> {
+  const engines: (EngineStandin & { dataCentre: string })[] = [];
+  for (const dataCentre of DATA_CENTRES) {
+    for (let i = 0; i < 3; i += 1) engines.push({ ...(await startEngine(0)), dataCentre });
+  }
+  return engines;
+}
+
+async function writeTenantTables(
+  site: LibrarySite,
+  engines: readonly { readonly url: string; readonly dataCentre: string }[],
+): Promise<void> {
+  const upstreams = engines.map(({ url, dataCentre }, i) =>
+    createUpstreamEntry(`e${i}`, 'scribe', {
+      role: i % 3 === 0 ? 'prefill' : 'decode',
+      dataCentre: dataCentreId(dataCentre),
+      address: url,
+    }),
+  );
+  const ids = TENANTS.map(({ id }) => id);
+  await writeTables(site.objectApi, {
+    routes: [createRouteEntry('chat', 'scribe', ids, { patienceMs: PATIENCE_MS })],
+    pools: [createPoolEntry('scribe', 'model', upstreams)],
+    organisations: ids.map((id) => ({ id, ...LIMITS })),
+  });
+}
+
+function sendLoad(
+  site: LibrarySite,
+  tenants: readonly Tenant[],
+  seconds: number,
+  seed: number,
+): Promise<LoadReport> {
+  const load = tenants.reduce((sum, tenant) => sum + tenant.load, 0);
+  return runLoad({
+    targets: site.nodes.map(({ url, adminUrl }) => ({ url, admin: adminUrl })),
+    organisations: tenants.map(({ id, load: weight }) => ({ name: id, key: keyOf(id), weight })),
+    routes: [ROUTE],
+    ratePerS: load * REQUESTS_PER_S,
+    seconds,
+    seed,
+    drainSeconds: DRAIN_S,
+    maxConcurrent: 5_000,
+    resumes: true,
+  });
+}
+
+async function duringLoad(
+  load: Promise<LoadReport>,
+  seconds: number,
+  begin: () => Promise<void>,
+  end: () => Promise<void>,
+): Promise<LoadReport> {
+  await sleep(seconds * FAULT_FROM * MS_PER_S);
+  await begin();
+  await sleep(seconds * (FAULT_TO - FAULT_FROM) * MS_PER_S);
+  await end();
+  return load;
+}
+
+const countRefused = ({ refusedByStatus }: LoadSummary): number =>
+  (refusedByStatus['429'] ?? 0) + (refusedByStatus['503'] ?? 0);
+
+const readOf = (report: LoadReport, { id }: Tenant): LoadSummary =>
+  report.byOrganisation[id] as LoadSummary;
+
+/** Good answers for each request sent, so that different numbers of arrivals compare. */
+const goodShare = ({ good, sent }: LoadSummary): number => (sent === 0 ? 1 : good / sent);
+
+const round = (value: number, digits = 4): number => Number(value.toFixed(digits));
+
+function describePhase(report: LoadReport, alone: number) {
+  const light = LIGHT.map((tenant) => ({ tenant, summary: readOf(report, tenant) }));
+  const sent = light.reduce((sum, { summary }) => sum + summary.sent, 0);
+  const refused = light.reduce((sum, { summary }) => sum + countRefused(summary), 0);
+  const goodputs = light.map(({ summary }) => goodShare(summary) / alone);
+  return {
+    sent,
+    refused,
+    wrongful_refusals: round(refused / Math.max(1, sent)),
+    worst_org_goodput_vs_alone: round(Math.min(...goodputs)),
+    organisations: Object.fromEntries(
+      TENANTS.map((tenant) => {
+        const { sent: own, good, outcomes, refusedByStatus } = readOf(report, tenant);
+        return [tenant.id, { sent: own, good, outcomes, refusedByStatus }];
+      }),
+    ),
+  };
+}
+
+function findOverBound(ledger: Ledger) {
+  const windows = TENANTS.map(({ id }) => ({
+    organisation: id,
+    ...findWorstWindow(ledger.readAdmissions(id), LIMITS),
+  }));
+  return windows.reduce((worst, window) => (window.ratio > worst.ratio ? window : worst));
+}
+
+async function measure(site: LibrarySite, { seed, seconds }: BenchOptions) {
+  const loadS = Math.max(15, seconds - SETTLE_MS / MS_PER_S - PHASES * 2);
+  const phaseS = loadS * FAULT_SHARE;
+  await sleep(SETTLE_MS);
+  const [, representative] = LIGHT;
+  const alone = await sendLoad(site, LIGHT.slice(1, 2), loadS * ALONE_SHARE, seed);
+  const aloneShare = representative === undefined ? 1 : goodShare(readOf(alone, representative));
+  const [node] = site.nodes;
+  if (node === undefined) throw new Error('no node');
+  const killed = await duringLoad(
+    sendLoad(site, TENANTS, phaseS, seed + 1),
+    phaseS,
+    () => site.kill(node),
+    () => site.restart(node),
+  );
+  const isolate = async (dataCentre: string | undefined): Promise<void> => {
+    site.links.isolated = dataCentre;
+  };
+  const isolated = await duringLoad(
+    sendLoad(site, TENANTS, phaseS, seed + 2),
+    phaseS,
+    () => isolate(DATA_CENTRES[1]),
+    () => isolate(undefined),
+  );
+  return {
+    alone: round(aloneShare),
+    node_killed: describePhase(killed, aloneShare),
+    data_centre_cut_off: describePhase(isolated, aloneShare),
+  };
+}
+
+export const runTenants: Bench = async (options) => {
+  const ledger = createLedger();
+  const engines = await startEngines();
+  const site = await startLibrarySite(DATA_CENTRES, NODES, ledger.observer);
+  try {
+    await writeTenantTables(site, engines);
+    await site.waitUntilReady();
+    const figures = await measure(site, options);
+    const phases = [figures.node_killed, figures.data_centre_cut_off];
+    for (const phase of phases) options.print(JSON.stringify(phase));
+    const worst = findOverBound(ledger);
+    const uncharged = ledger.listUncharged();
+    const violations = site.instances.flatMap(({ telemetry }) => telemetry.invariants.violations());
+    const refused = phases.reduce((sum, phase) => sum + phase.refused, 0);
+    const sent = phases.reduce((sum, phase) => sum + phase.sent, 0);
+    return {
+      fields: {
+        max_over_bound: round(worst.ratio),
+        worst_window: worst,
+        wrongful_refusals: round(refused / Math.max(1, sent), 5),
+        worst_org_goodput_vs_alone: Math.min(
+          ...phases.map((phase) => phase.worst_org_goodput_vs_alone),
+        ),
+        ...figures,
+        ran_uncharged: uncharged.length,
+      },
+      broken: [
+        ...(worst.ratio > 1 ? [`max_over_bound: ${worst.organisation} ${worst.ratio}`] : []),
+        ...(uncharged.length > 0 ? [`ran without a charge: ${uncharged.join(' ')}`] : []),
+        ...violations.map(({ invariant, detail }) => `${invariant}: ${detail}`),
+      ],
+    };
+  } finally {
+    await site.stop();
+    await Promise.all(engines.map((engine) => engine.stop()));
+  }
+};
--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -3,9 +3,15 @@
 import { runControl } from './benches/control.js';
 import { runFaults } from './benches/faults.js';
 import { runRelay } from './benches/relay.js';
+import { runTenants } from './benches/tenants.js';
 import type { Bench } from './types.js';
 
-const benches: Record<string, Bench> = { control: runControl, faults: runFaults, relay: runRelay };
+const benches: Record<string, Bench> = {
+  control: runControl,
+  faults: runFaults,
+  relay: runRelay,
+  tenants: runTenants,
+};
 
 const EXIT_BROKEN = 1;
 
--- a/packages/gateway/src/attempts.ts
+++ b/packages/gateway/src/attempts.ts
@@ -22,6 +22,11 @@
 export interface AttemptFailure {
   readonly error: RouterError;
   readonly upstream: UpstreamId;
+  /**
+   * Whether an upstream ran a part of the request although the error says that its own did not run.
+   * The request may then be sent again, but a refusal does not call it not run.
+   */
+  readonly ranPart?: boolean;
 }
 
 export interface AttemptLoop<T> {
@@ -88,11 +93,14 @@
   const { pool } = req.route;
   const exclude = [...loop.exclude];
   let effect: Effect = loop.firstAttempt === 1 ? 'not_run' : 'unknown';
+  let ranPart = false;
+  const fail = (error: RouterError): Result<T, FinalFailure> =>
+    err({ error, effect: ranPart ? 'unknown' : effect });
   let lastError = createError('no_capacity', 'no attempt was possible; retry later');
   for (let made = 0; made < MAX_ATTEMPTS; made += 1) {
     const attempt = loop.firstAttempt + made;
     const placed = await placeUsable(loop, attempt, exclude);
-    if (placed.isErr()) return err({ error: placed.error, effect });
+    if (placed.isErr()) return fail(placed.error);
     const grant = placed.value;
     const result = await loop.run(grant);
     const succeeded = result.isOk();
@@ -108,9 +116,10 @@
     });
     lastError = error;
     if (error.effect !== 'not_run') effect = 'unknown';
-    if (req.signal.aborted) return err({ error: describeAbort(req.signal), effect });
+    ranPart ||= result.error.ranPart ?? false;
+    if (req.signal.aborted) return fail(describeAbort(req.signal));
     if (!loop.mayRepeat(effect) || !budget.takeRetry(pool)) break;
     exclude.push(upstream);
   }
-  return err({ error: lastError, effect });
+  return fail(lastError);
 }
--- a/packages/gateway/src/model-attempt.ts
+++ b/packages/gateway/src/model-attempt.ts
@@ -143,6 +143,7 @@
   const { engines, scheduler, telemetry } = options;
   const ref = { requestId: req.id, attempt: grant.attempt };
 
+  let ranPart = false;
   const fail = (
     error: RouterError,
     upstream: UpstreamId,
@@ -151,11 +152,12 @@
     void engines.cancel(target.prefill.address, ref);
     void engines.cancel(target.decode.address, ref);
     scheduler.release(grant, { ...report, outcome: toGrantOutcome(error, req.signal), upstream });
-    return err({ error, upstream });
+    return err({ error, upstream, ranPart });
   };
 
   const prefilled = await prefill(context, grant, target);
   if (prefilled.isErr()) return fail(prefilled.error, target.prefill.upstream, {});
+  ranPart = true;
   const prefillReport = {
     prefillMs: prefilled.value.elapsedMs,
     prefilledTokens: prefilled.value.promptTokens,
--- a/packages/gateway/test/model.test.ts
+++ b/packages/gateway/test/model.test.ts
@@ -109,6 +109,17 @@
   expect(bench.writer.text()).toBe(WHOLE_ANSWER);
 });
 
+// Guards against a refusal as not run of a request whose prompt an engine has already processed.
+test('a request whose prefill ran is not refused as not run', async () => {
+  const bench = arrange(() => createError('upstream_refused', 'full', { effect: 'not_run' }));
+  const budget = createRetryBudget();
+  while (budget.takeRetry('layout-scribe'));
+  await serveModelRequest(bench.context, budget);
+  expect(bench.prefills).toHaveLength(1);
+  expect(bench.writer.failures[0]).toMatchObject({ effect: 'unknown' });
+  expect(bench.refunds).toEqual([bench.context.maxTokens]);
+});
+
 test('retries end with the budget of the pool', async () => {
   const bench = arrange(() => broken());
   const budget = createRetryBudget();
