Add the bench config

Six nodes as processes, writers that race on a pool, keys and limits, restarts, and an outage of 8 s with lost answers around it.

The engines of faults and tenants now report the pool's model as loaded; without it their owners ordered loads, during which the engines were held back.

--- /dev/null
+++ b/packages/bench/src/benches/config.ts
@@ -0,0 +1,164 @@
+/** Racing edits and key withdrawals while nodes restart and the platform is out. */
+import { createRandom, organisationId, sleep } from '@hibiscusbank/core';
+import { runSchedule } from '../harness/schedule.js';
+import type { ScheduledFault } from '../harness/schedule.js';
+import { keyOf, startSite, writeTables } from '../harness/site.js';
+import type { Site, SiteNode } from '../harness/site.js';
+import {
+  BENCH_ORGANISATION,
+  createPoolEntry,
+  createRouteEntry,
+  createUpstreamEntry,
+} from '../harness/tables.js';
+import { collectViolations } from '../harness/violations.js';
+import type { Bench, BenchOptions } from '../types.js';
+import { counterName, startEdits } from './config-edits.js';
+import { computePropagation, watchNodes } from './config-watch.js';
+
+const DATA_CENTRES = ['dc-a', 'dc-b', 'dc-c'];
+const NODES = 6;
+const SPARE = organisationId('spare');
+const SETTLE_MS = 3_000;
+const TAIL_MS = 6_000;
+const OVERHEAD_S = 12;
+const MIN_EDIT_S = 15;
+const OUTAGE_MS = 8_000;
+const RESTART_PAUSE_MS = 1_500;
+const LOST_ANSWERS_MS = 1_500;
+const LOST_ANSWER_RATE = 0.5;
+const MAX_IN_FORCE_MS = 18_000;
+const MAX_WITHDRAWN_USE_MS = 5_000;
+const LIMITS = { ratePerS: 10_000, burst: 100_000 };
+
+const counterPool = {
+  ...createPoolEntry('counter', 'model', [
+    createUpstreamEntry('p1', 'counter', { role: 'prefill', address: 'http://127.0.0.1:9' }),
+  ]),
+  model: counterName(0),
+};
+
+async function writeConfigTables(site: Site): Promise<void> {
+  await writeTables(site.objectApi, {
+    routes: [createRouteEntry('chat', 'counter', [BENCH_ORGANISATION])],
+    pools: [counterPool],
+    organisations: [
+      { id: BENCH_ORGANISATION, ...LIMITS },
+      { id: SPARE, ...LIMITS },
+    ],
+  });
+}
+
+function createSchedule(
+  site: Site,
+  editS: number,
+  beforeKill: () => Promise<void>,
+): readonly ScheduledFault[] {
+  const { objectStandin, vmList } = site;
+  const restart = (node: SiteNode | undefined) => async (): Promise<void> => {
+    if (node === undefined) return;
+    await beforeKill();
+    node.process.signal('SIGKILL');
+    await node.process.exited;
+    await sleep(RESTART_PAUSE_MS);
+    site.restart(node);
+  };
+  const outageFromS = editS * 0.4;
+  const outageToS = outageFromS + OUTAGE_MS / 1_000;
+  const loseAnswers = (): void =>
+    objectStandin.setFaults({ loseAnswerRate: LOST_ANSWER_RATE }, LOST_ANSWERS_MS);
+  const startOutage = (): void => {
+    objectStandin.setFaults({ outage: 'refuse' }, OUTAGE_MS);
+    vmList.setFaults({ outage: 'refuse' }, OUTAGE_MS);
+  };
+  return [
+    { atS: editS * 0.1, name: 'node restarts', run: restart(site.nodes[0]) },
+    { atS: editS * 0.25, name: 'node restarts', run: restart(site.nodes[1]) },
+    {
+      atS: outageFromS - LOST_ANSWERS_MS / 1_000,
+      name: 'answers of the platform lost',
+      run: loseAnswers,
+    },
+    { atS: outageFromS, name: 'platform out', run: startOutage },
+    { atS: outageFromS + 2, name: 'node restarts', run: restart(site.nodes[3]) },
+    { atS: outageToS, name: 'answers of the platform lost', run: loseAnswers },
+    { atS: editS * 0.85, name: 'node restarts', run: restart(site.nodes[4]) },
+  ];
+}
+
+const percentile = (values: readonly number[], share: number): number => {
+  const sorted = [...values].sort((a, b) => a - b);
+  return Math.round(sorted[Math.floor(share * (sorted.length - 1))] ?? 0);
+};
+
+const maxOf = (values: readonly number[]): number =>
+  values.reduce((max, value) => Math.max(max, Math.round(value)), 0);
+
+async function measure(site: Site, { seed, print }: BenchOptions, editS: number) {
+  const violations = collectViolations(site.nodes);
+  const writing = new AbortController();
+  const watching = new AbortController();
+  const edits = startEdits({
+    objectApi: site.objectApi,
+    pool: counterPool,
+    organisation: BENCH_ORGANISATION,
+    spare: SPARE,
+    random: createRandom(seed),
+    signal: writing.signal,
+  });
+  const { log } = edits;
+  const permanentKey = keyOf(BENCH_ORGANISATION);
+  const watch = watchNodes(site.nodes, log, permanentKey, watching.signal);
+  const faults = runSchedule(createSchedule(site, editS, violations.collect), print);
+  await sleep(editS * 1_000);
+  writing.abort();
+  await Promise.all([edits.done, faults]);
+  await sleep(TAIL_MS);
+  const endMs = performance.now();
+  watching.abort();
+  await Promise.all([watch.done, violations.stop()]);
+  const { histories } = watch;
+  return {
+    log,
+    propagation: computePropagation(log.counter, histories, endMs),
+    reverts: histories.flatMap((history) => history.reverts),
+    lateUses: histories.flatMap((history) => history.lateUses),
+    violations: [...violations.seen],
+  };
+}
+
+export const runConfig: Bench = async (options) => {
+  const editS = Math.max(MIN_EDIT_S, options.seconds - OVERHEAD_S);
+  const site = await startSite({ dataCentres: DATA_CENTRES, nodes: NODES });
+  try {
+    await writeConfigTables(site);
+    await site.waitUntilReady();
+    await sleep(SETTLE_MS);
+    const { log, propagation, reverts, lateUses, violations } = await measure(site, options, editS);
+    const inForceMaxMs = maxOf(propagation.inForceMs);
+    const lastUseMs = maxOf(lateUses);
+    return {
+      fields: {
+        edits_accepted: log.accepted,
+        edits_per_s: Number((log.accepted / editS).toFixed(2)),
+        conflicts: log.conflicts,
+        unavailable: log.unavailable,
+        counter_edits: log.counter.length,
+        keys_withdrawn: log.keys.filter((key) => key.withdrawnAtMs !== undefined).length,
+        in_force_p50_ms: percentile(propagation.inForceMs, 0.5),
+        in_force_p99_ms: percentile(propagation.inForceMs, 0.99),
+        in_force_max_ms: inForceMaxMs,
+        in_force_restarted_max_ms: maxOf(propagation.restartedMs),
+        reverts: reverts.length,
+        withdrawn_key_last_use_ms: lastUseMs,
+      },
+      broken: [
+        ...(inForceMaxMs > MAX_IN_FORCE_MS ? [`in_force_max_ms: ${inForceMaxMs}`] : []),
+        ...(lastUseMs > MAX_WITHDRAWN_USE_MS ? [`withdrawn_key_last_use_ms: ${lastUseMs}`] : []),
+        ...reverts.map((revert) => `reverts: ${revert}`),
+        ...violations,
+      ],
+    };
+  } finally {
+    await site.stop();
+  }
+};
--- a/packages/bench/src/benches/faults-site.ts
+++ b/packages/bench/src/benches/faults-site.ts
@@ -102,7 +102,8 @@
 
 /** Starts six nodes in two data centres in front of engines and plain upstreams. */
 export async function startFaultsSite(): Promise<FaultsSite> {
-  const engine = (role: EngineOptions['role']) => () => startEngine(0, { role, tokenMs: 20 });
+  const engine = (role: EngineOptions['role']) => () =>
+    startEngine(0, { role, models: ['scribe'] });
   const prefills = await startInAll('p', engine('prefill'));
   const decodes = await startInAll('d', engine('decode'));
   const desks = await startInAll('desk', () => startUpstream(0, { serviceMs: BOOKING_MS }));
--- a/packages/bench/src/benches/tenants.ts
+++ b/packages/bench/src/benches/tenants.ts
@@ -1,19 +1,21 @@
 /** Heavy and light organisations share a site that loses a node, then a data centre's links. */
 import { dataCentreId, organisationId, sleep } from '@hibiscusbank/core';
 import type { OrganisationId } from '@hibiscusbank/core';
-import { MODEL_ROUTE_DEFAULTS, runLoad, startEngine } from '@hibiscusbank/standins';
-import type {
-  EngineStandin,
-  LoadReport,
-  LoadSummary,
-  ModelRoute,
-  Range,
-} from '@hibiscusbank/standins';
+import { MODEL_ROUTE_DEFAULTS, startEngine } from '@hibiscusbank/standins';
+import type { EngineStandin, ModelRoute, Range } from '@hibiscusbank/standins';
 import { startLibrarySite } from '../harness/library-site.js';
 import type { LibrarySite } from '../harness/library-site.js';
 import { keyOf, writeTables } from '../harness/site.js';
-import { createPoolEntry, createRouteEntry, createUpstreamEntry } from '../harness/tables.js';
+import {
+  createPoolEntry,
+  createRouteEntry,
+  createUpstreamEntry,
+  UNLIMITED_RATE,
+} from '../harness/tables.js';
+import { startTraffic } from '../harness/traffic.js';
+import type { TrafficRecord } from '../harness/traffic.js';
 import type { Bench, BenchOptions } from '../types.js';
+import { describePhase, describeTenant, goodShare, round } from './tenants-figures.js';
 import { createLedger, findWorstWindow } from './tenants-ledger.js';
 import type { Ledger } from './tenants-ledger.js';
 
@@ -27,7 +29,7 @@
 const SETTLE_MS = 8_000;
 const MS_PER_S = 1_000;
 const DRAIN_S = 3;
-const PHASES = 3;
+const OVERHEAD_S = 11;
 const ALONE_SHARE = 0.2;
 const FAULT_SHARE = 0.4;
 /** Parts of a phase at which its fault begins and ends. */
@@ -49,6 +51,9 @@
   { id: organisationId('heavy-1'), load: HEAVY_FACTOR },
   { id: organisationId('heavy-2'), load: HEAVY_FACTOR },
 ];
+/** Takes the engines out of slow start; it has no limit that matters. */
+const WARM_UP: Tenant = { id: organisationId('warm-up'), load: 8 };
+const WARM_UP_S = 5;
 const TENANTS = [...LIGHT, ...HEAVY];
 
 /** Mean of a range that is drawn evenly on a logarithmic scale. */
@@ -63,41 +68,52 @@
   answerTokens: ANSWER_TOKENS,
 };
 
-async function startEngines(): Promise<readonly (EngineStandin & { dataCentre: string })[]> {
-  const engines: (EngineStandin & { dataCentre: string })[] = [];
+interface TenantEngine extends EngineStandin {
+  readonly dataCentre: string;
+  readonly role: 'prefill' | 'decode';
+}
+
+async function startEngines(): Promise<readonly TenantEngine[]> {
+  const engines: TenantEngine[] = [];
   for (const dataCentre of DATA_CENTRES) {
-    for (let i = 0; i < 3; i += 1) engines.push({ ...(await startEngine(0)), dataCentre });
+    for (const role of ['prefill', 'decode', 'decode'] as const) {
+      const standin = await startEngine(0, { role, models: ['scribe'] });
+      engines.push({ ...standin, dataCentre, role });
+    }
   }
   return engines;
 }
 
 async function writeTenantTables(
   site: LibrarySite,
-  engines: readonly { readonly url: string; readonly dataCentre: string }[],
+  engines: readonly TenantEngine[],
 ): Promise<void> {
-  const upstreams = engines.map(({ url, dataCentre }, i) =>
+  const upstreams = engines.map(({ url, dataCentre, role }, i) =>
     createUpstreamEntry(`e${i}`, 'scribe', {
-      role: i % 3 === 0 ? 'prefill' : 'decode',
+      role,
       dataCentre: dataCentreId(dataCentre),
       address: url,
     }),
   );
-  const ids = TENANTS.map(({ id }) => id);
+  const ids = [...TENANTS, WARM_UP].map(({ id }) => id);
   await writeTables(site.objectApi, {
     routes: [createRouteEntry('chat', 'scribe', ids, { patienceMs: PATIENCE_MS })],
     pools: [createPoolEntry('scribe', 'model', upstreams)],
-    organisations: ids.map((id) => ({ id, ...LIMITS })),
+    organisations: [
+      ...TENANTS.map(({ id }) => ({ id, ...LIMITS })),
+      { id: WARM_UP.id, ratePerS: UNLIMITED_RATE, burst: UNLIMITED_RATE },
+    ],
   });
 }
 
-function sendLoad(
+async function sendLoad(
   site: LibrarySite,
   tenants: readonly Tenant[],
   seconds: number,
   seed: number,
-): Promise<LoadReport> {
+): Promise<readonly TrafficRecord[]> {
   const load = tenants.reduce((sum, tenant) => sum + tenant.load, 0);
-  return runLoad({
+  const traffic = startTraffic({
     targets: site.nodes.map(({ url, adminUrl }) => ({ url, admin: adminUrl })),
     organisations: tenants.map(({ id, load: weight }) => ({ name: id, key: keyOf(id), weight })),
     routes: [ROUTE],
@@ -105,17 +121,17 @@
     seconds,
     seed,
     drainSeconds: DRAIN_S,
-    maxConcurrent: 5_000,
-    resumes: true,
   });
+  await traffic.done;
+  return traffic.records;
 }
 
-async function duringLoad(
-  load: Promise<LoadReport>,
+async function duringLoad<T>(
+  load: Promise<T>,
   seconds: number,
   begin: () => Promise<void>,
   end: () => Promise<void>,
-): Promise<LoadReport> {
+): Promise<T> {
   await sleep(seconds * FAULT_FROM * MS_PER_S);
   await begin();
   await sleep(seconds * (FAULT_TO - FAULT_FROM) * MS_PER_S);
@@ -123,36 +139,6 @@
   return load;
 }
 
-const countRefused = ({ refusedByStatus }: LoadSummary): number =>
-  (refusedByStatus['429'] ?? 0) + (refusedByStatus['503'] ?? 0);
-
-const readOf = (report: LoadReport, { id }: Tenant): LoadSummary =>
-  report.byOrganisation[id] as LoadSummary;
-
-/** Good answers for each request sent, so that different numbers of arrivals compare. */
-const goodShare = ({ good, sent }: LoadSummary): number => (sent === 0 ? 1 : good / sent);
-
-const round = (value: number, digits = 4): number => Number(value.toFixed(digits));
-
-function describePhase(report: LoadReport, alone: number) {
-  const light = LIGHT.map((tenant) => ({ tenant, summary: readOf(report, tenant) }));
-  const sent = light.reduce((sum, { summary }) => sum + summary.sent, 0);
-  const refused = light.reduce((sum, { summary }) => sum + countRefused(summary), 0);
-  const goodputs = light.map(({ summary }) => goodShare(summary) / alone);
-  return {
-    sent,
-    refused,
-    wrongful_refusals: round(refused / Math.max(1, sent)),
-    worst_org_goodput_vs_alone: round(Math.min(...goodputs)),
-    organisations: Object.fromEntries(
-      TENANTS.map((tenant) => {
-        const { sent: own, good, outcomes, refusedByStatus } = readOf(report, tenant);
-        return [tenant.id, { sent: own, good, outcomes, refusedByStatus }];
-      }),
-    ),
-  };
-}
-
 function findOverBound(ledger: Ledger) {
   const windows = TENANTS.map(({ id }) => ({
     organisation: id,
@@ -162,12 +148,13 @@
 }
 
 async function measure(site: LibrarySite, { seed, seconds }: BenchOptions) {
-  const loadS = Math.max(15, seconds - SETTLE_MS / MS_PER_S - PHASES * 2);
+  const loadS = Math.max(15, seconds - SETTLE_MS / MS_PER_S - OVERHEAD_S);
   const phaseS = loadS * FAULT_SHARE;
-  await sleep(SETTLE_MS);
-  const [, representative] = LIGHT;
-  const alone = await sendLoad(site, LIGHT.slice(1, 2), loadS * ALONE_SHARE, seed);
-  const aloneShare = representative === undefined ? 1 : goodShare(readOf(alone, representative));
+  await sleep(SETTLE_MS - WARM_UP_S * MS_PER_S);
+  await sendLoad(site, [WARM_UP], WARM_UP_S, seed);
+  const representative = LIGHT.slice(1, 2);
+  const alone = await sendLoad(site, representative, loadS * ALONE_SHARE, seed);
+  const aloneShare = goodShare(describeTenant(alone));
   const [node] = site.nodes;
   if (node === undefined) throw new Error('no node');
   const killed = await duringLoad(
@@ -185,10 +172,13 @@
     () => isolate(DATA_CENTRES[1]),
     () => isolate(undefined),
   );
+  const names = (tenants: readonly Tenant[]): string[] => tenants.map(({ id }) => id);
+  const describe = (records: readonly TrafficRecord[]) =>
+    describePhase(records, names(LIGHT), names(HEAVY), aloneShare);
   return {
     alone: round(aloneShare),
-    node_killed: describePhase(killed, aloneShare),
-    data_centre_cut_off: describePhase(isolated, aloneShare),
+    node_killed: describe(killed),
+    data_centre_cut_off: describe(isolated),
   };
 }
 
--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -1,5 +1,6 @@
 /** Entry point of the benches: `npm run -s bench -- NAME [--seed N] [--seconds T]`. */
 import { command, number, oneOf, option, positional, run } from 'cmd-ts';
+import { runConfig } from './benches/config.js';
 import { runControl } from './benches/control.js';
 import { runFaults } from './benches/faults.js';
 import { runRelay } from './benches/relay.js';
@@ -7,6 +8,7 @@
 import type { Bench } from './types.js';
 
 const benches: Record<string, Bench> = {
+  config: runConfig,
   control: runControl,
   faults: runFaults,
   relay: runRelay,
