--- a/packages/cli/src/app.ts
+++ b/packages/cli/src/app.ts
@@ -3,6 +3,7 @@
 import { createCommandRunner } from './command-runner.js';
 import type { CommandHost } from './command-runner.js';
 import { outputOptions } from './common-options.js';
+import { createDemoCommand } from './demo-command.js';
 import { exitCodes } from './exit-codes.js';
 import type { ExitCode } from './exit-codes.js';
 import { processDaemonPorts, runDaemon } from './node-command.js';
@@ -41,6 +42,7 @@
       vm: createDrainCommands(runner, 'vm'),
       upstream: createDrainCommands(runner, 'upstream'),
       ...createInspectionCommands(runner),
+      demo: createDemoCommand(runner),
       load: loadCommand,
       standin: standinCommand,
     },
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -1,5 +1,5 @@
 /** Assembles the modules of one node. */
-import { countTokens, createTelemetry } from '@hibiscusbank/core';
+import { countTokens, createTelemetry, sleep, writeToRoarr } from '@hibiscusbank/core';
 import { createConfigurationReplica } from '@hibiscusbank/configuration';
 import { createGateway } from '@hibiscusbank/gateway';
 import { createMembership, createTcpNetwork } from '@hibiscusbank/peers';
@@ -10,12 +10,21 @@
 import type { NodeSettings } from '@hibiscusbank/settings';
 import { createAdminServer } from './admin.js';
 import { createEngineControl } from './engine-control.js';
+import { createRecentDecisions } from './recent-decisions.js';
 import type { NodePorts, RouterNode } from './types.js';
 
+/** A draining node still serves what arrives until balancers have seen that it is not ready. */
+const READINESS_GRACE_MS = 2_000;
+
 /** Creates a node. Nothing runs before `start`. */
 export function createNode(settings: NodeSettings, ports: NodePorts): RouterNode {
   const self = { vm: settings.vm, dataCentre: settings.dataCentre };
-  const telemetry = createTelemetry(self, ports.logSink);
+  const decisions = createRecentDecisions();
+  const writeLog = ports.logSink ?? writeToRoarr;
+  const telemetry = createTelemetry(self, (level, context, text) => {
+    decisions.record(level, context, text);
+    writeLog(level, context, text);
+  });
   const listens = ports.listens ?? true;
   let draining = false;
 
@@ -98,6 +107,7 @@
     listen: settings.adminListen,
     findObstacle,
     activeRequests: () => gateway.activeRequests(),
+    explainRequest: decisions.find,
   });
 
   const stopAll = async (): Promise<void> => {
@@ -137,9 +147,14 @@
       draining = true;
       telemetry.log('nodeDraining', { active: gateway.activeRequests() });
       gateway.beginDrain();
+      const graceEnds = sleep(READINESS_GRACE_MS);
       await membership.leave();
-      await scheduler.leave();
-      await gateway.waitUntilIdle(settings.limits.drainTimeoutMs);
+      // Both wait for the streams of this node, so one time limit covers them.
+      const { drainTimeoutMs } = settings.limits;
+      await Promise.all([
+        scheduler.leave(),
+        graceEnds.then(() => gateway.waitUntilIdle(drainTimeoutMs)),
+      ]);
       await quota.leave();
       await gateway.stop();
       await stopAll();
--- a/packages/scheduler/src/admission.ts
+++ b/packages/scheduler/src/admission.ts
@@ -4,7 +4,7 @@
 import { countBlocks } from './choose-model.js';
 import type { Estimates } from './estimates.js';
 import type { PlaceReply } from './messages.js';
-import { canDecode, hasAllRoles } from './partition.js';
+import { canDecode, hasAllRoles, memoryLimit } from './partition.js';
 import type { CellPlan } from './partition.js';
 import type { CellSummary, PlacementRequest } from './types.js';
 import type { ColdRights } from './upstream-state.js';
@@ -14,6 +14,8 @@
 /** Waiting requests of one cell at most; it bounds memory and the time of a dispatch. */
 export const MAX_QUEUED = 1_000;
 const OUT_RETRY_AFTER_MS = 1_000;
+/** Assumed time of a plain request until the first reports arrive. */
+const PLAIN_HOLD_MS = 100;
 
 export interface AdmissionOptions {
   readonly plan: () => CellPlan;
@@ -41,11 +43,16 @@
   const waitOf = (entry: Waiting, now: number): number =>
     estimateWaitMs(waiting.queue, entry, state.upstreams(), estimates, options.rights(), now);
 
+  const expectedHoldMs = (req: PlacementRequest): number =>
+    options.plan().pool.kind === 'plain'
+      ? PLAIN_HOLD_MS
+      : estimates.prefillMs(req.promptTokens) + estimates.decodeMs(estimates.outputTokens(req));
+
   const isTooLarge = (entry: Waiting): boolean => {
     const { pool, upstreams } = options.plan();
     if (pool.kind === 'plain') return false;
     const blocks = countBlocks(pool, entry.req);
-    return !upstreams.some((u) => canDecode(u) && u.memoryBlocks >= blocks);
+    return !upstreams.some((u) => canDecode(u) && memoryLimit(u) >= blocks);
   };
 
   const refuseUnplaceable = (entry: Waiting, mayOverflow: boolean): PlaceReply | undefined => {
@@ -72,6 +79,7 @@
       arrivedAt: now,
       patienceMs: req.patienceMs,
       prefillMs: estimates.prefillMs(req.promptTokens),
+      holdMs: expectedHoldMs(req),
       lastAskedAt: now,
       blockedSince: undefined,
     }),
@@ -80,7 +88,8 @@
       if (unplaceable !== undefined || !options.mayGrant()) return unplaceable;
       const waitMs = waitOf(entry, now);
       const firstTokenMs = waitMs + entry.prefillMs;
-      if (mayOverflow && waitMs > 0 && firstTokenMs > entry.req.firstTokenTargetMs) {
+      const limitMs = Math.min(entry.req.firstTokenTargetMs, entry.patienceMs);
+      if (mayOverflow && waitMs > 0 && firstTokenMs > limitMs) {
         return { kind: 'overflow', summary: summary() };
       }
       // Cold upstreams without the lease give no estimate; the request waits for the lease.
