--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -1,15 +1,21 @@
 /** Entry point of the benches: `npm run -s bench -- NAME [--seed N] [--seconds T]`. */
 import { command, number, oneOf, option, positional, run } from 'cmd-ts';
+import { runConfig } from './benches/config.js';
 import { runControl } from './benches/control.js';
+import { runFaults } from './benches/faults.js';
 import { runHandoff } from './benches/handoff.js';
 import { runRelay } from './benches/relay.js';
+import { runTenants } from './benches/tenants.js';
 import { runZone } from './benches/zone.js';
 import type { Bench } from './types.js';
 
 const benches: Record<string, Bench> = {
+  config: runConfig,
   control: runControl,
+  faults: runFaults,
   handoff: runHandoff,
   relay: runRelay,
+  tenants: runTenants,
   zone: runZone,
 };
 
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -30,3 +30,8 @@
 export type { ObjectTable } from './object-api/object-table.js';
 export { createUpstreamCore } from './upstream/upstream-core.js';
 export type { UpstreamCore } from './upstream/upstream-core.js';
+export { createRequestPlanner } from './load/plan-request.js';
+export type { PlannedRequest } from './load/plan-request.js';
+export { sendRequest } from './load/send-request.js';
+export { createTargets } from './load/targets.js';
+export type { Targets } from './load/targets.js';
