--- a/packages/bench/src/harness/ports.ts
+++ b/packages/bench/src/harness/ports.ts
@@ -1,26 +1,30 @@
 /** Free loopback ports. */
 import { createServer } from 'node:net';
-import type { AddressInfo } from 'node:net';
 
-async function listenOnce(): Promise<{ port: number; close: () => Promise<void> }> {
+/** Below the range from which the kernel takes ports of outgoing connections. */
+const FIRST_PORT = 12_000;
+const PORT_COUNT = 18_000;
+
+function isFree(port: number): Promise<boolean> {
   const server = createServer();
-  await new Promise<void>((resolve) => {
-    server.listen(0, '127.0.0.1', () => resolve());
+  return new Promise((resolve) => {
+    server.once('error', () => resolve(false));
+    server.listen(port, '127.0.0.1', () => {
+      server.close(() => resolve(true));
+    });
   });
-  const { port } = server.address() as AddressInfo;
-  return {
-    port,
-    close: () =>
-      new Promise((resolve) => {
-        server.close(() => resolve());
-      }),
-  };
 }
 
-/** Finds ports that are free now; all are held until the last is known, so that none repeats. */
+/** Ports given out by this process are not given out again, since a node may be restarting on them. */
+let offset = (process.pid * 97) % PORT_COUNT;
+
+/** Finds ports that are free now. */
 export async function findFreePorts(count: number): Promise<readonly number[]> {
-  const held = [];
-  for (let i = 0; i < count; i += 1) held.push(await listenOnce());
-  await Promise.all(held.map(({ close }) => close()));
-  return held.map(({ port }) => port);
+  const found: number[] = [];
+  while (found.length < count) {
+    const port = FIRST_PORT + offset;
+    offset = (offset + 1) % PORT_COUNT;
+    if (await isFree(port)) found.push(port);
+  }
+  return found;
 }
