Let a drain wait for requests that are still being read or arrive late

waitUntilIdle counted admitted requests only, and a request is admitted after its body was read. A request that reached the node as its drain began was therefore cut when the handover of the quota had ended. The gateway now counts from the arrival, and the drain waits once more after the handover. The drain timeout was ruled out: the node stopped 4.5 s after the drain, with a limit of 30 s.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -45,6 +45,8 @@
   const claims = createClaims(options.objectApi);
   let server: Server | undefined;
   let draining = false;
+  /** Requests being served, also those whose body is still being read. */
+  let serving = 0;
 
   const sendError = ({ incoming, outgoing }: Exchange, error: RouterError): void => {
     telemetry.metrics.refusals.inc({ kind: error.kind });
@@ -70,7 +72,7 @@
     sendError,
   };
 
-  const serve = async (exchange: Exchange): Promise<void> => {
+  const dispatch = async (exchange: Exchange): Promise<void> => {
     const { incoming, outgoing } = exchange;
     const [path = '/'] = (incoming.url ?? '/').split('?');
     if (draining) outgoing.setHeader('connection', 'close');
@@ -80,6 +82,15 @@
     else await handlePlainRequest(context, exchange, path);
   };
 
+  const serve = async (exchange: Exchange): Promise<void> => {
+    serving += 1;
+    try {
+      await dispatch(exchange);
+    } finally {
+      serving -= 1;
+    }
+  };
+
   const app = new Hono<{ Bindings: HttpBindings }>();
   app.all('*', async (c) => {
     await serve(c.env);
@@ -115,10 +126,8 @@
     },
     waitUntilIdle: async (timeoutMs) => {
       const deadline = performance.now() + timeoutMs;
-      while (admission.activeRequests() > 0 && performance.now() < deadline) {
-        await sleep(IDLE_CHECK_MS);
-      }
-      return admission.activeRequests();
+      while (serving > 0 && performance.now() < deadline) await sleep(IDLE_CHECK_MS);
+      return serving;
     },
     stop: close,
     kill: async () => {
--- a/packages/gateway/test/http.test.ts
+++ b/packages/gateway/test/http.test.ts
@@ -1,3 +1,5 @@
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { PassThrough } from 'node:stream';
 import { digestKey } from '@hibiscusbank/configuration';
 import type { TenantKey } from '@hibiscusbank/configuration';
 import { organisationId } from '@hibiscusbank/core';
@@ -117,3 +119,18 @@
   expect(ids[2]).toMatch(/^req_[0-9a-f-]+\.d1\.2$/);
   expect(res.text.endsWith('data: [DONE]\n\n')).toBe(true);
 });
+
+test('a drain waits for a request whose body is still being read', async () => {
+  const gateway = createGateway(createOptions({}));
+  const body = new PassThrough();
+  const incoming = Object.assign(body, { method: 'POST', url: chat, headers: {} });
+  const outgoing = Object.assign(new PassThrough(), { writeHead: () => {} });
+  void gateway.serve({
+    incoming: incoming as unknown as IncomingMessage,
+    outgoing: outgoing as unknown as ServerResponse,
+  });
+
+  expect(await gateway.waitUntilIdle(0)).toBe(1);
+
+  body.destroy();
+});
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -142,6 +142,8 @@
       await gateway.waitUntilIdle(settings.limits.drainTimeoutMs);
       await quota.leave();
       await gateway.stop();
+      // Requests that arrived during the handover are finished, too.
+      await gateway.waitUntilIdle(settings.limits.drainTimeoutMs);
       await stopAll();
     },
     stop: async () => {
