--- a/packages/reconciler/src/orphan-sweeper.ts
+++ b/packages/reconciler/src/orphan-sweeper.ts
@@ -4,7 +4,7 @@
  * cannot cut a running request.
  */
 import { monotonicMs, repeatUntilAborted } from '@hibiscusbank/core';
-import type { Telemetry } from '@hibiscusbank/core';
+import type { CellId, Telemetry } from '@hibiscusbank/core';
 import type { EngineHold, EnginePort } from '@hibiscusbank/engines';
 import type { Membership, PeerNetwork } from '@hibiscusbank/peers';
 import type { UpstreamEntry } from '@hibiscusbank/settings';
@@ -55,6 +55,8 @@
   /** First time that a hold was seen without a grant, by engine and attempt. */
   const orphanSince = new Map<string, number>();
   let alertUntil = 0;
+  let sweptAt = -Infinity;
+  let sweptCells: ReadonlySet<CellId> = new Set();
 
   network.handle(VERIFY_METHOD, async (params) => {
     const { refs } = params as { refs: HoldRef[] };
@@ -131,13 +133,22 @@
 
   const isHurried = (): boolean => monotonicMs() < alertUntil || orphanSince.size > 0;
 
+  /** A cell that was taken over can have holds of requests that ended with its previous owner. */
+  const hasNewCell = (): boolean => options.listCells().some(({ cell }) => !sweptCells.has(cell));
+
+  const isDue = (): boolean =>
+    isHurried() || hasNewCell() || monotonicMs() - sweptAt >= SWEEP_INTERVAL_MS;
+
+  const sweepWhenDue = async (): Promise<void> => {
+    if (!isDue()) return;
+    sweptAt = monotonicMs();
+    sweptCells = new Set(options.listCells().map(({ cell }) => cell));
+    await sweep();
+  };
+
   return {
     start: () => {
-      void repeatUntilAborted(
-        stopping.signal,
-        () => (isHurried() ? ALERT_INTERVAL_MS : SWEEP_INTERVAL_MS),
-        sweep,
-      );
+      void repeatUntilAborted(stopping.signal, () => ALERT_INTERVAL_MS, sweepWhenDue);
     },
     stop: () => stopping.abort(),
     alert: () => {
--- a/packages/reconciler/test/orphan-sweeper.test.ts
+++ b/packages/reconciler/test/orphan-sweeper.test.ts
@@ -33,13 +33,13 @@
 function arrange(members: Member[], answers: Map<VmId, PeerAnswer>) {
   const engine = createFakeEngine();
   engine.holds = [hold];
-  const state = { granted: false, runsHere: false };
+  const state = { granted: false, runsHere: false, owned: true };
   const sweeper = createOrphanSweeper({
     engines: createFakePort({ d1: engine }),
     membership: createFakeMembership(members),
     network: createFakeNetwork(answers),
     telemetry,
-    listCells: () => [createCell([createEngineEntry('d1', 'decode')])],
+    listCells: () => (state.owned ? [createCell([createEngineEntry('d1', 'decode')])] : []),
     isGranted: () => state.granted,
     isRunningHere: () => state.runsHere,
   });
@@ -98,3 +98,12 @@
   await vi.advanceTimersByTimeAsync(3_000);
   expect(engine.cancelled).toEqual([]);
 });
+
+test('a hold in a cell taken over 3 s after its node died is freed within 10 s', async () => {
+  const { engine, state } = arrange([createMember('vm-1')], new Map());
+  state.owned = false;
+  await vi.advanceTimersByTimeAsync(3_000);
+  state.owned = true;
+  await vi.advanceTimersByTimeAsync(6_900);
+  expect(engine.cancelled).toEqual(['req_1']);
+});
