--- a/packages/bench/src/soak/run.ts
+++ b/packages/bench/src/soak/run.ts
@@ -112,7 +112,7 @@
   if (!details.failed || details.counterexample === null) return undefined;
   const [commands] = details.counterexample;
   return [
-    `seed ${seed} fails, replay with: npm run soak -- --seed ${seed} --runs 1`,
+    `seed ${seed} fails, replay with: npm run soak -- --seed ${seed} --runs 1 --commands ${maxCommands}`,
     ...last.map((failure) => `  ${failure}`),
     `commands (${commands.length}):`,
     ...commands.map((command) => `  ${formatCommand(command)}`),
