--- a/packages/bench/src/soak/apply-command.ts
+++ b/packages/bench/src/soak/apply-command.ts
@@ -8,7 +8,8 @@
 import type { CallKind } from './traffic.js';
 import type { World } from './world.js';
 
-const BURST_SIZE = 6;
+const CHAT_BURST_SIZE = 6;
+const PLAN_BURST_SIZE = 25;
 const MAX_PAUSE_MS = 20_000;
 const MIN_PAUSE_MS = 200;
 const FAULT_MS = 4_000;
@@ -17,6 +18,7 @@
 const SHORT_ANSWER = 60;
 const LONG_EVERY = 3;
 const IDEMPOTENCY_KEYS = 6;
+const LARGE_KEYS = KEYS.filter(({ entry }) => entry.organisation === 'large');
 const HEAVY_KEYS = KEYS.filter(({ entry }) => entry.organisation === 'heavy');
 
 export function pickFrom<T>(items: readonly T[], choice: number): T | undefined {
@@ -88,7 +90,13 @@
   booking: send('booking'),
   keyed_booking: send('keyed_booking'),
   burst: (context) => {
-    for (let n = 0; n < BURST_SIZE; n += 1) sendCall(context, 'chat', pickFrom(HEAVY_KEYS, n));
+    const isChat = context.b % 2 === 0;
+    const keys = isChat ? HEAVY_KEYS : LARGE_KEYS;
+    const size = isChat ? CHAT_BURST_SIZE : PLAN_BURST_SIZE;
+    for (let n = 0; n < size; n += 1) {
+      // One data centre gets the whole burst, so that its upstreams fill up.
+      sendCall(context, isChat ? 'chat' : 'plan', pickFrom(keys, n));
+    }
   },
   cancel: ({ world, a }) => {
     const call = pickFrom(world.traffic.open(), a);
@@ -139,8 +147,14 @@
   drain_vm: ({ operator, a }) => operator.drain('vm', pickFrom(VMS, a)?.id ?? ''),
   end_drains: ({ operator }) => operator.endDrains(),
   turn_cold: (context) => {
-    if (context.b % 2 === 0) pickEngine(context)?.core.faults.set({ turnCold: true });
-    else pickUpstream(context)?.core.faults.set({ turnCold: true });
+    if (context.b % 2 === 0) {
+      pickEngine(context)?.core.faults.set({ turnCold: true });
+      return;
+    }
+    const upstream = pickUpstream(context);
+    if (upstream === undefined) return;
+    upstream.refusedColdAtMs = undefined;
+    upstream.core.faults.set({ turnCold: true });
   },
   kill_engine: (context) => {
     const engine = pickEngine(context);
--- a/packages/bench/src/soak/fake-upstreams.ts
+++ b/packages/bench/src/soak/fake-upstreams.ts
@@ -20,6 +20,8 @@
   readonly entry: UpstreamEntry;
   readonly core: UpstreamCore;
   refusing: boolean;
+  /** Time of the first refusal in the present cold start, from which the router knows of it. */
+  refusedColdAtMs: number | undefined;
 }
 
 export interface FakeUpstreams {
@@ -52,7 +54,7 @@
       coldAnswer: 'not_run' as const,
     };
     const core = runOutside(() => createUpstreamCore(options, setRefusing));
-    upstreams.set(entry.address, { entry, core, refusing: false });
+    upstreams.set(entry.address, { entry, core, refusing: false, refusedColdAtMs: undefined });
   }
   return { list: () => [...upstreams.values()], find: (address) => upstreams.get(address) };
 }
@@ -85,6 +87,7 @@
   const outcome = await pending;
   if (outcome === 'cut') return err(broken(call.address));
   if (outcome === 'cold_not_run' || outcome === 'cold_failed') {
+    upstream.refusedColdAtMs ??= performance.now();
     const notRun = outcome === 'cold_not_run' ? { 'x-not-run': '1' } : {};
     return err(classifyStatus(503, { 'x-cold-start': '1', ...notRun }, call.address));
   }
--- a/packages/bench/src/soak/work-checks.ts
+++ b/packages/bench/src/soak/work-checks.ts
@@ -4,7 +4,7 @@
 import type { UpstreamEntry } from '@hibiscusbank/settings';
 import type { Disturbances } from './disturbances.js';
 import type { EngineObserver } from './engine-port.js';
-import type { UpstreamObserver } from './fake-upstreams.js';
+import type { FakeUpstream, UpstreamObserver } from './fake-upstreams.js';
 import type { Instance } from './fleet.js';
 import type { Journal } from './journal.js';
 import type { Call, Traffic } from './traffic.js';
@@ -32,6 +32,12 @@
   readonly disturbances: () => Disturbances;
 }
 
+/** Requests sent before the first refusal of a cold upstream have ended after this time. */
+const COLD_GRACE_MS = 1_000;
+
+/** The router may double the limit once within `coldStepMs`, which the cold starts of a run last. */
+const COLD_GROWTH = 2;
+
 const CALL_MARK = /\[\[call (\d+)\]\]/;
 
 /** Creates the checks. */
@@ -55,6 +61,15 @@
       }
     }
   };
+  /** An upstream that turned cold without warning gets too much until its first refusal. */
+  const checkCold = ({ entry, core, refusedColdAtMs }: FakeUpstream): void => {
+    const { cold, running } = core.readState();
+    if (!cold || refusedColdAtMs === undefined) return;
+    journal.count('cold_runs');
+    const knownAt = Math.max(refusedColdAtMs, options.disturbances().lastSplitMs());
+    if (nowMs() - knownAt <= COLD_GRACE_MS || running <= COLD_GROWTH * entry.coldLimit) return;
+    journal.fail('cold_limit', `${entry.id} runs ${running} requests in cold start`);
+  };
   const checkCaller = (
     call: Call,
     instance: Instance,
@@ -102,6 +117,7 @@
       },
     }),
     createUpstreamObserver: (instance) => (upstream, sent) => {
+      checkCold(upstream);
       checkPlace(upstream.entry, instance(), `request ${String(sent.headers['x-request-id'])}`);
       const call = findMarked(String(sent.headers['x-soak-call']));
       if (call === undefined) {
