--- a/packages/bench/src/benches/handoff-site.ts
+++ b/packages/bench/src/benches/handoff-site.ts
@@ -1,6 +1,5 @@
 /** Site of the handoff bench: fresh engines behind the router's nodes or behind baseline relays. */
 import { fileURLToPath } from 'node:url';
-import { sleep } from '@hibiscusbank/core';
 import { MODEL_ROUTE_DEFAULTS } from '@hibiscusbank/standins';
 import type { EngineOptions, LoadTarget, ModelRoute } from '@hibiscusbank/standins';
 import { createGroupEntries, startEngineGroup } from '../harness/engine-groups.js';
@@ -8,7 +7,7 @@
 import type { Baseline } from '../harness/baseline-policies.js';
 import { findFreePorts } from '../harness/ports.js';
 import { endProcesses, startProcess } from '../harness/processes.js';
-import { createModelProbe, waitUntilServing } from '../harness/serving.js';
+import { createModelProbe, waitUntilListening, waitUntilServing } from '../harness/serving.js';
 import { keyOf, startSite, writeTables } from '../harness/site.js';
 import {
   BENCH_ORGANISATION,
@@ -29,7 +28,6 @@
 const FRONT_ENDS = 3;
 const PATIENCE_MS = 2_000;
 const TIME_LIMIT_MS = 10_000;
-const RELAY_START_MS = 500;
 const BASELINE_SCRIPT = fileURLToPath(new URL('../harness/baseline-main.js', import.meta.url));
 
 /** A full batch of 16 takes 28 ms a token, which leaves room for delays of a busy machine. */
@@ -119,7 +117,7 @@
       decode,
     ]),
   );
-  await sleep(RELAY_START_MS);
+  await Promise.all(ports.map((port) => waitUntilListening(`http://127.0.0.1:${port}`)));
   return {
     engines,
     targets: ports.map((port) => ({ url: `http://127.0.0.1:${port}` })),
--- a/packages/bench/src/harness/baseline-main.ts
+++ b/packages/bench/src/harness/baseline-main.ts
@@ -110,6 +110,11 @@
 
 let sequence = 0;
 createServer((req, res) => {
+  // The bench asks whether the relay has started.
+  if (req.method === 'GET') {
+    res.end();
+    return;
+  }
   const abort = new AbortController();
   res.on('close', () => abort.abort());
   sequence += 1;
--- a/packages/bench/src/harness/serving.ts
+++ b/packages/bench/src/harness/serving.ts
@@ -51,3 +51,18 @@
   const messages = [{ role: 'user', content: 'probe' }];
   return { key, path: '/v1/chat/completions', body: { model, max_tokens: 1, messages } };
 }
+
+/** Resolves when a server answers `GET /`, whatever the status. */
+export async function waitUntilListening(url: string): Promise<void> {
+  const deadline = performance.now() + TIMEOUT_MS;
+  for (;;) {
+    try {
+      const res = await request(url);
+      await res.body.dump();
+      return;
+    } catch (thrown) {
+      if (performance.now() > deadline) throw thrown;
+      await sleep(POLL_MS);
+    }
+  }
+}
