Serve requests that can still meet their first-token target before late ones

Cause: at 130% of decode capacity the fair queue of an organisation is served in order of arrival, so the wait grows to the patience and every request is served after its target. Now the requests of an organisation that can still meet the target go first; turns between organisations do not change.

--- a/packages/scheduler/src/admission.ts
+++ b/packages/scheduler/src/admission.ts
@@ -8,12 +8,14 @@
 import type { CellPlan } from './partition.js';
 import type { CellSummary, PlacementRequest } from './types.js';
 import type { ColdRights } from './upstream-state.js';
-import { estimateWaitMs } from './wait-estimate.js';
+import { estimateFirstTokenMs, estimateWaitMs } from './wait-estimate.js';
 import type { Waiting, WaitingList } from './waiting.js';
 
 /** Waiting requests of one cell at most; it bounds memory and the time of a dispatch. */
 export const MAX_QUEUED = 1_000;
 const OUT_RETRY_AFTER_MS = 1_000;
+/** Share of the first-token target that is kept for the spread around the expected times. */
+const TARGET_RESERVE = 0.15;
 
 export interface AdmissionOptions {
   readonly plan: () => CellPlan;
@@ -41,6 +43,17 @@
   const waitOf = (entry: Waiting, now: number): number =>
     estimateWaitMs(waiting.queue, entry, state.upstreams(), estimates, options.rights(), now);
 
+  /**
+   * Latest time of a grant that still meets the first-token target. A request that misses it without
+   * any wait has no such time, since waiting is not what makes it late.
+   */
+  const computeLateAt = (req: PlacementRequest, now: number): number => {
+    if (req.urgency !== 'urgent') return Infinity;
+    const expectedMs = estimateFirstTokenMs(options.plan(), req, estimates);
+    const spareMs = req.firstTokenTargetMs * (1 - TARGET_RESERVE) - expectedMs;
+    return spareMs > 0 ? now + spareMs : Infinity;
+  };
+
   const isTooLarge = (entry: Waiting): boolean => {
     const { pool, upstreams } = options.plan();
     if (pool.kind === 'plain') return false;
@@ -74,6 +87,7 @@
       prefillMs: estimates.prefillMs(req.promptTokens),
       lastAskedAt: now,
       blockedSince: undefined,
+      lateAt: computeLateAt(req, now),
     }),
     answerEarly: (entry, mayOverflow, now) => {
       const unplaceable = refuseUnplaceable(entry, mayOverflow);
--- a/packages/scheduler/src/fair-queue.ts
+++ b/packages/scheduler/src/fair-queue.ts
@@ -8,6 +8,8 @@
   readonly cost: number;
   readonly arrivedAt: number;
   readonly patienceMs: number;
+  /** From this time on the first token comes after its target; `Infinity` for no such time. */
+  readonly lateAt: number;
 }
 
 export interface FairQueue<T extends Queueable> {
@@ -49,11 +51,23 @@
   return entry.urgency === 'patient' && now - entry.arrivedAt >= entry.patienceMs / 2;
 }
 
+/** Entries of one organisation in the order of service. */
+function orderByLateness<T extends Queueable>(list: readonly T[], now: number): readonly T[] {
+  if (!list.some((entry) => now >= entry.lateAt)) return list;
+  const punctual = list.filter((entry) => now < entry.lateAt);
+  const late = list.filter((entry) => now >= entry.lateAt);
+  return [...punctual, ...late];
+}
+
 /**
  * Creates the queue. Only the head of each organisation carries a start tag, so cancelling a
  * waiting request costs its organisation nothing. A patient request that has waited half its
  * patience ranks with the urgent ones by start tag: it goes first when its organisation has
  * received its share or less, while the aged backlog of a heavy sender cannot displace others.
+ *
+ * Inside an organisation, urgent requests that can still meet their first-token target precede late
+ * ones. In overload, arrival order would serve each request just after its target, so that none meets
+ * it. Turns between organisations do not depend on lateness.
  */
 export function createFairQueue<T extends Queueable>(): FairQueue<T> {
   const flows = new Map<string, Flow<T>>();
@@ -92,7 +106,7 @@
     for (const flow of flows.values()) {
       // The aged head is considered first, so that it wins a tie inside its organisation.
       consider(findHead(flow.patient, skipped), flow);
-      consider(findHead(flow.urgent, skipped), flow);
+      consider(findHead(orderByLateness(flow.urgent, now), skipped), flow);
     }
     return best;
   };
@@ -139,12 +153,16 @@
     visitAhead: (entry, now, visit) => {
       if (joinedAt.size === 0) return;
       const own = flows.get(entry.organisation);
-      const queuedCost = own?.[entry.urgency].reduce((sum, other) => sum + other.cost, 0) ?? 0;
+      const isAhead = (other: T): boolean => entry.urgency === 'patient' || now < other.lateAt;
+      const queued = own?.[entry.urgency].filter(isAhead) ?? [];
+      const queuedCost = queued.reduce((sum, other) => sum + other.cost, 0);
       const start = Math.max(virtualTime, own?.finish ?? 0) + queuedCost;
       // The smallest step breaks the tie in favour of entries that are already waiting.
       const turn = { rank: rankOf(entry, now), start: start + Number.EPSILON * (start + 1) };
       for (const flow of flows.values()) {
-        visitFlow(flow.urgent, flow, turn, now, visit);
+        const ordered = orderByLateness(flow.urgent, now);
+        const urgent = flow === own ? ordered.filter(isAhead) : ordered;
+        visitFlow(urgent, flow, turn, now, visit);
         visitFlow(flow.patient, flow, turn, now, visit);
       }
     },
@@ -152,7 +170,7 @@
       let last: T | undefined;
       let lastTurn: Turn | undefined;
       for (const flow of flows.values()) {
-        for (const list of [flow.urgent, flow.patient]) {
+        for (const list of [orderByLateness(flow.urgent, now), flow.patient]) {
           const entry = list.at(-1);
           if (entry === undefined) continue;
           const before = list.slice(0, -1).reduce((sum, other) => sum + other.cost, 0);
--- a/packages/scheduler/src/wait-estimate.ts
+++ b/packages/scheduler/src/wait-estimate.ts
@@ -2,6 +2,8 @@
 import type { Estimates } from './estimates.js';
 import type { FairQueue, Queueable } from './fair-queue.js';
 import { canDecode, canPrefill } from './partition.js';
+import type { CellPlan } from './partition.js';
+import type { PlacementRequest } from './types.js';
 import { slotLimit } from './upstream-state.js';
 import type { ColdRights, UpstreamState } from './upstream-state.js';
 import { MAX_PREFILL_BACKLOG_MS } from './choose-model.js';
@@ -44,6 +46,23 @@
   return Math.max(0, (backlogMs + aheadMs) / engines.length - MAX_PREFILL_BACKLOG_MS);
 }
 
+/** Steps of a batch from the end of the transfer to the first token: a running one and the first own. */
+const FIRST_TOKEN_STEPS = 2;
+
+/** Time from the grant to the first token, or to the response of a plain upstream. */
+export function estimateFirstTokenMs(
+  { pool, upstreams }: CellPlan,
+  req: PlacementRequest,
+  estimates: Estimates,
+): number {
+  if (pool.kind === 'plain') return estimates.holdMs();
+  const rates = upstreams.filter(canDecode).map((entry) => entry.linkBytesPerMs);
+  const slowest = Math.min(...rates.filter((rate) => rate > 0));
+  const transferMs = (req.promptTokens * pool.kvBytesPerToken) / slowest;
+  const prefillMs = MAX_PREFILL_BACKLOG_MS + estimates.prefillMs(req.promptTokens);
+  return prefillMs + transferMs + estimates.decodeMs(FIRST_TOKEN_STEPS);
+}
+
 /**
  * Estimates the time until the request has its grant, from the work that the fair queue would serve
  * before it. Returns `Infinity` when nothing that could serve it is in service.
--- a/packages/scheduler/test/fair-queue.test.ts
+++ b/packages/scheduler/test/fair-queue.test.ts
@@ -13,6 +13,7 @@
   cost: 100,
   arrivedAt: 0,
   patienceMs: 10_000,
+  lateAt: Infinity,
   ...extra,
 });
 
@@ -94,3 +95,30 @@
   });
   expect(ahead).toBeGreaterThanOrEqual(50);
 });
+
+// Guards against overload in which each request is served just after its first-token target.
+test('requests that can still meet their target precede late ones of their organisation', () => {
+  const queue = createFairQueue<Entry>();
+  queue.add(entry('a', { name: 'late', lateAt: 800 }));
+  queue.add(entry('a', { name: 'punctual', lateAt: 1_500 }));
+  expect(serveAll(queue, 900)).toEqual(['punctual', 'late']);
+});
+
+// Guards against lateness that takes the turn of an organisation away.
+test('a late request keeps the turn of its organisation', () => {
+  const queue = createFairQueue<Entry>();
+  queue.add(entry('a', { name: 'late', lateAt: 800 }));
+  queue.add(entry('b', { name: 'b1' }));
+  queue.add(entry('b', { name: 'b2' }));
+  expect(serveAll(queue, 900).indexOf('late')).toBeLessThan(2);
+});
+
+// Guards against estimates of the wait that count late requests and refuse punctual ones for them.
+test('late requests of an organisation are not ahead of a new one', () => {
+  const queue = createFairQueue<Entry>();
+  queue.add(entry('a', { name: 'late', lateAt: 800 }));
+  queue.add(entry('a', { name: 'punctual', lateAt: 1_500 }));
+  const ahead: string[] = [];
+  queue.visitAhead(entry('a', { lateAt: 1_600 }), 900, ({ name }) => ahead.push(name));
+  expect(ahead).toEqual(['punctual']);
+});
