--- a/packages/scheduler/src/admission.ts
+++ b/packages/scheduler/src/admission.ts
@@ -8,7 +8,7 @@
 import type { CellPlan } from './partition.js';
 import type { CellSummary, PlacementRequest } from './types.js';
 import type { ColdRights } from './upstream-state.js';
-import { estimateWaitMs } from './wait-estimate.js';
+import { estimateFirstTokenMs, estimateWaitMs } from './wait-estimate.js';
 import type { Waiting, WaitingList } from './waiting.js';
 
 /** Waiting requests of one cell at most; it bounds memory and the time of a dispatch. */
@@ -17,6 +17,9 @@
 /** Assumed time of a plain request until the first reports arrive. */
 const PLAIN_HOLD_MS = 100;
 
+/** Share of the first-token target that is kept for the spread around the expected times. */
+const TARGET_RESERVE = 0.15;
+
 export interface AdmissionOptions {
   readonly plan: () => CellPlan;
   readonly state: CellState;
@@ -48,6 +51,17 @@
       ? PLAIN_HOLD_MS
       : estimates.prefillMs(req.promptTokens) + estimates.decodeMs(estimates.outputTokens(req));
 
+  /**
+   * Latest time of a grant that still meets the first-token target. A request that misses it without
+   * any wait has no such time, since waiting is not what makes it late.
+   */
+  const computeLateAt = (req: PlacementRequest, now: number): number => {
+    if (req.urgency !== 'urgent') return Infinity;
+    const expectedMs = estimateFirstTokenMs(options.plan(), req, estimates);
+    const spareMs = req.firstTokenTargetMs * (1 - TARGET_RESERVE) - expectedMs;
+    return spareMs > 0 ? now + spareMs : Infinity;
+  };
+
   const isTooLarge = (entry: Waiting): boolean => {
     const { pool, upstreams } = options.plan();
     if (pool.kind === 'plain') return false;
@@ -82,6 +96,7 @@
       holdMs: expectedHoldMs(req),
       lastAskedAt: now,
       blockedSince: undefined,
+      lateAt: computeLateAt(req, now),
     }),
     answerEarly: (entry, mayOverflow, now) => {
       const unplaceable = refuseUnplaceable(entry, mayOverflow);
