--- a/packages/reconciler/src/orphan-sweeper.ts
+++ b/packages/reconciler/src/orphan-sweeper.ts
@@ -4,9 +4,9 @@
  * cannot cut a running request.
  */
 import { monotonicMs, repeatUntilAborted } from '@hibiscusbank/core';
-import type { CellId, Telemetry } from '@hibiscusbank/core';
+import type { CellId, RouterError, Telemetry } from '@hibiscusbank/core';
 import type { EngineHold, EnginePort } from '@hibiscusbank/engines';
-import type { Membership, PeerNetwork } from '@hibiscusbank/peers';
+import type { Member, Membership, PeerNetwork } from '@hibiscusbank/peers';
 import type { UpstreamEntry } from '@hibiscusbank/settings';
 import { formatRef, listEngines } from './types.js';
 import type { HoldRef, OwnedCell } from './types.js';
@@ -48,6 +48,14 @@
   readonly ref: HoldRef;
 }
 
+/**
+ * A leaving VM listens until its last request has ended. One that refuses connections has stopped,
+ * though other data centres may list it as leaving for a while.
+ */
+function hasStopped(peer: Member | undefined, error: RouterError): boolean {
+  return peer?.state === 'leaving' && error.kind === 'peer_unavailable';
+}
+
 /** Creates the sweeper of a node. It also answers other nodes' questions. */
 export function createOrphanSweeper(options: SweeperOptions): OrphanSweeper {
   const { engines, membership, network, telemetry } = options;
@@ -105,8 +113,11 @@
       ),
     );
     const running = new Set<string>();
-    for (const answer of answers) {
-      if (answer.isErr()) return undefined;
+    for (const [index, answer] of answers.entries()) {
+      if (answer.isErr()) {
+        if (hasStopped(peers[index], answer.error)) continue;
+        return undefined;
+      }
       for (const ref of answer.value.running) running.add(formatRef(ref));
     }
     return running;
--- a/packages/reconciler/test/orphan-sweeper.test.ts
+++ b/packages/reconciler/test/orphan-sweeper.test.ts
@@ -107,3 +107,17 @@
   await vi.advanceTimersByTimeAsync(6_900);
   expect(engine.cancelled).toEqual(['req_1']);
 });
+
+test('a VM that left and stopped does not keep the holds of others', async () => {
+  const answers = new Map<VmId, PeerAnswer>([[vmId('vm-2'), 'refused']]);
+  const { engine } = arrange([createMember('vm-1'), createMember('vm-2', 'leaving')], answers);
+  await vi.advanceTimersByTimeAsync(10_000);
+  expect(engine.cancelled).toEqual(['req_1']);
+});
+
+test('a live VM that refuses a connection keeps its holds', async () => {
+  const answers = new Map<VmId, PeerAnswer>([[vmId('vm-2'), 'refused']]);
+  const { engine } = arrange([createMember('vm-1'), createMember('vm-2')], answers);
+  await vi.advanceTimersByTimeAsync(20_000);
+  expect(engine.cancelled).toEqual([]);
+});
--- a/packages/reconciler/test/support.ts
+++ b/packages/reconciler/test/support.ts
@@ -121,8 +121,8 @@
   };
 }
 
-/** What a peer answers: a list of results, or nothing while it is unreachable. */
-export type PeerAnswer = (() => unknown) | undefined;
+/** What a peer answers; `undefined` while it gives no answer, `refused` after it has stopped. */
+export type PeerAnswer = (() => unknown) | 'refused' | undefined;
 
 /** A network of peers with fixed answers; the own handlers answer for this VM. */
 export function createFakeNetwork(answers: Map<VmId, PeerAnswer>): PeerNetwork {
@@ -140,6 +140,7 @@
       }
       const answer = answers.get(to);
       if (answer === undefined) return errAsync(createError('timeout', 'no answer'));
+      if (answer === 'refused') return errAsync(createError('peer_unavailable', 'refused'));
       return okAsync(answer() as T);
     },
     start: async () => {},
