--- a/packages/bench/src/benches/faults.ts
+++ b/packages/bench/src/benches/faults.ts
@@ -59,6 +59,7 @@
   readonly holdsClearedMs: number;
   readonly longestHoldMs: number;
   readonly violations: readonly string[];
+  readonly maxLagMs: number;
 }
 
 function createLoad({ site }: FaultsSite, seed: number, loadS: number): TrafficOptions {
@@ -101,6 +102,7 @@
     holdsClearedMs: Math.max(0, Math.round(holds.lastStaleAtMs() - lastFaultAtMs)),
     longestHoldMs: Math.round(holds.longestAfterEndMs()),
     violations: [...violations.seen],
+    maxLagMs: traffic.maxLagMs(),
   };
 }
 
@@ -146,6 +148,7 @@
         holds_left: run.holdsLeft.length,
         holds_cleared_ms: run.holdsClearedMs,
         longest_hold_after_end_ms: run.longestHoldMs,
+        max_arrival_lag_ms: run.maxLagMs,
         cut_with_node: figures.cutWithNode,
         resumed: figures.resumed,
         resumes_refused: figures.resumesRefused.length,
--- a/packages/bench/src/harness/traffic.ts
+++ b/packages/bench/src/harness/traffic.ts
@@ -50,6 +50,8 @@
 
 export interface Traffic {
   readonly records: readonly TrafficRecord[];
+  /** Longest delay of a launch behind its arrival; a large one means that the machine was too busy. */
+  maxLagMs(): number;
   /** Resolves when all requests have ended or the time to drain is over. */
   readonly done: Promise<void>;
 }
@@ -163,7 +165,9 @@
   const keyedRepeats = options.keyedRepeats ?? 0;
   const sender = { client, targets, running, isOver: () => over, keyedRepeats };
 
+  let maxLagMs = 0;
   const launch = (arrivedAtMs: number): void => {
+    maxLagMs = Math.max(maxLagMs, performance.now() - arrivedAtMs);
     const planned = planner.next();
     const record = { planned, arrivedAtMs, exchanges: [], results: [], isOver: false };
     records.push(record);
@@ -184,5 +188,5 @@
     targets.stop();
     await client.destroy();
   };
-  return { records, done: run() };
+  return { records, maxLagMs: () => Math.round(maxLagMs), done: run() };
 }
