--- a/packages/bench/src/soak/final-checks.ts
+++ b/packages/bench/src/soak/final-checks.ts
@@ -3,6 +3,7 @@
 import { ORGANISATIONS } from './site.js';
 import { expectAnswer, readTokens } from './traffic.js';
 import type { Call } from './traffic.js';
+import { checkUsage } from './usage-check.js';
 import type { World } from './world.js';
 
 function checkAnswer(world: World, call: Call): void {
@@ -76,6 +77,7 @@
   for (const excess of world.quotaLog.findExcess(ORGANISATIONS)) {
     world.journal.fail('rate_and_burst', excess);
   }
+  for (const organisation of ORGANISATIONS) checkUsage(world, organisation);
   checkConfiguration(world);
   checkIdle(world);
 }
