Fill the prefix index from placements; be ready only when a quota ring is known

The index of cached prefixes was corrected by events every 10 s but never filled by placements, so prefix affinity did not work in between. A node that reported ready before any ring of quota holders was known made its first callers wait.

--- a/packages/gateway/test/support/fakes.ts
+++ b/packages/gateway/test/support/fakes.ts
@@ -130,6 +130,7 @@
       refunds.push(tokens);
     },
     balances: () => [],
+    isReady: () => true,
     start: async () => {},
     leave: async () => {},
     stop: async () => {},
--- a/packages/node/src/engine-control.ts
+++ b/packages/node/src/engine-control.ts
@@ -8,7 +8,7 @@
 import { putResolved } from '@hibiscusbank/platform';
 import type { ObjectApi } from '@hibiscusbank/platform';
 import { createCacheIndex, createModelOrders, createOrphanSweeper } from '@hibiscusbank/reconciler';
-import type { FindCachedTokens, OwnedCell } from '@hibiscusbank/reconciler';
+import type { CacheIndex, FindCachedTokens, OwnedCell } from '@hibiscusbank/reconciler';
 import type { CellScheduler } from '@hibiscusbank/scheduler';
 import type { PoolEntry, UpstreamEntry, UpstreamRole } from '@hibiscusbank/settings';
 import { createCellLeases } from './cell-leases.js';
@@ -29,6 +29,8 @@
   /** The configuration in which engines that change role are out of service. */
   readonly configuration: ConfigurationReplica;
   readonly findCachedTokens: FindCachedTokens;
+  /** Records the prefixes of a prompt that an engine is about to prefill. */
+  readonly onPrefill: CacheIndex['recordPlacement'];
   epochIfHeld(cell: CellId): number | undefined;
   /** Whether this VM is one of the two that may use cold upstreams without the lease. */
   hasColdShare(cell: CellId): boolean;
@@ -134,6 +136,7 @@
         configuration.isUpstreamOut(upstream, dataCentre) || isHeldBack(upstream),
     },
     findCachedTokens: cacheIndex.findCachedTokens,
+    onPrefill: cacheIndex.recordPlacement,
     epochIfHeld: leases.epochIfHeld,
     hasColdShare: (cell) => {
       const ring = configuration.ring(self.dataCentre)?.members ?? [];
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -76,6 +76,7 @@
     holdsLease: engineControl.epochIfHeld,
     coldShareWithoutLease: engineControl.hasColdShare,
     findCachedTokens: engineControl.findCachedTokens,
+    onPrefill: engineControl.onPrefill,
     onAbandoned: engineControl.onAbandoned,
     leaveLimitMs: settings.limits.drainTimeoutMs,
   });
@@ -97,6 +98,7 @@
   const findObstacle = (): string | undefined => {
     if (draining) return 'draining';
     if (!configuration.isReady()) return 'configuration not loaded';
+    if (!quota.isReady()) return 'no ring of quota holders known';
     if (configuration.isVmOut(self.vm)) return 'this VM is out of service';
     if (configuration.isDataCentreOut(self.dataCentre)) return 'this data centre is out of service';
     return undefined;
--- a/packages/quota/src/escrow-quota.ts
+++ b/packages/quota/src/escrow-quota.ts
@@ -154,6 +154,8 @@
   return {
     ...createQuotaClient({ network, configuration, rings, telemetry }),
     balances: holder.balances,
+    isReady: () =>
+      [dataCentre, ...configuration.dataCentres()].some((name) => rings.get(name) !== undefined),
     start: async () => {
       void repeatUntilAborted(stopping.signal, () => ADOPTION_INTERVAL_MS, advance);
       void repeatUntilAborted(
--- a/packages/quota/src/types.ts
+++ b/packages/quota/src/types.ts
@@ -38,6 +38,8 @@
   /** Gives back the unused part of a charge. Never fails; lost refunds are lost tokens. */
   refund(charge: Charge, tokens: number): void;
   balances(): readonly BalanceReport[];
+  /** Whether the ring of any data centre is known, so that debits have holders to ask. */
+  isReady(): boolean;
   start(): Promise<void>;
   /** Hands this VM's balances over and leaves the ring. */
   leave(): Promise<void>;
--- a/packages/scheduler/src/cell-host.ts
+++ b/packages/scheduler/src/cell-host.ts
@@ -29,6 +29,8 @@
   readonly holdsLease: (cell: CellId) => number | undefined;
   readonly coldShareWithoutLease: (cell: CellId) => boolean;
   readonly findCachedTokens: (upstream: UpstreamId, prefixHashes: readonly number[]) => number;
+  /** Called with the prefixes of each prompt that an engine is about to prefill. */
+  readonly onPrefill: (upstream: UpstreamId, prefixHashes: readonly number[]) => void;
   readonly onAbandoned: (grant: Grant) => void;
 }
 
@@ -110,6 +112,7 @@
         return grantId(`${prefix}-${nextGrant}`);
       },
       findCachedTokens: options.findCachedTokens,
+      onPrefill: options.onPrefill,
       onAbandoned: options.onAbandoned,
     });
     const entry: HostedCell = { cell, ready: false, epoch: 0, collection: 0 };
--- a/packages/scheduler/src/dispatcher.ts
+++ b/packages/scheduler/src/dispatcher.ts
@@ -37,6 +37,8 @@
   readonly mayGrant: () => boolean;
   readonly nextGrantId: () => GrantId;
   readonly findCachedTokens: (upstream: UpstreamId, prefixHashes: readonly number[]) => number;
+  /** Called with the prefixes of each prompt that an engine is about to prefill. */
+  readonly onPrefill: (upstream: UpstreamId, prefixHashes: readonly number[]) => void;
   readonly onAbandoned: (grant: Grant) => void;
 }
 
@@ -168,13 +170,17 @@
   };
 
   const give = (entry: Waiting, placement: Placement, now: number): void => {
-    const grant = createGrant(entry, placement.target);
+    const { target } = placement;
+    if (target.kind === 'model' && entry.req.prefixHashes.length > 0) {
+      options.onPrefill(target.prefill.upstream, entry.req.prefixHashes);
+    }
+    const grant = createGrant(entry, target);
     const filed: FiledGrant = {
       grant,
       blocks: placement.blocks,
       prefillMs: placement.prefillMs,
       expectedTokens: entry.req.expectedTokens,
-      prefilling: placement.target.kind === 'model',
+      prefilling: target.kind === 'model',
     };
     const record: GrantRecord = {
       filed,
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -41,6 +41,8 @@
   readonly coldShareWithoutLease: (cell: CellId) => boolean;
   /** Tokens of the prompt that the upstream has cached, as far as its cache events tell. */
   readonly findCachedTokens?: (upstream: UpstreamId, prefixHashes: readonly number[]) => number;
+  /** Called with the prefixes of each prompt that an engine is about to prefill. */
+  readonly onPrefill?: (upstream: UpstreamId, prefixHashes: readonly number[]) => void;
   /** Receives grants of dead nodes that nobody resumed, to be cancelled at the engines. */
   readonly onAbandoned?: (grant: Grant) => void;
   /** `leave` waits this long for this node's grants. */
@@ -72,6 +74,7 @@
     holdsLease: options.holdsLease,
     coldShareWithoutLease: options.coldShareWithoutLease,
     findCachedTokens: options.findCachedTokens ?? (() => 0),
+    onPrefill: options.onPrefill ?? (() => {}),
     onAbandoned: options.onAbandoned ?? (() => {}),
   });
   const queries = createOwnerQueries(host, topology, self.dataCentre);
