Notice within a second that a quota holder has vanished

The node now pings the holder every 500 ms while a debit waits. A node without a pools table is ready without a quota ring.

--- a/packages/quota/src/client.ts
+++ b/packages/quota/src/client.ts
@@ -17,6 +17,9 @@
 /** Holders outside the data centre that are tried when none inside answers. */
 const MAX_REMOTE_HOLDERS = 2;
 const UNREACHABLE_RETRY_MS = 1_000;
+/** A debit that waits checks at this interval whether its holder still answers. */
+const PING_INTERVAL_MS = 500;
+const PING_TIMEOUT_MS = 500;
 /** Pause between two rounds over all holders. */
 const NO_HOLDER_PAUSE_MS = 100;
 
@@ -100,18 +103,39 @@
     void network.call(holder, methods.refund, params, { timeoutMs: REFUND_TIMEOUT_MS });
   };
 
+  /**
+   * Resolves when a holder stops answering. A debit may wait in a holder's queue for seconds, so
+   * its own silence does not tell a queue from a VM that has vanished without closing connections.
+   */
+  const waitForSilence = async (
+    holder: VmId,
+    signal: AbortSignal,
+  ): Promise<Result<DebitReply, RouterError>> => {
+    for (;;) {
+      await sleep(PING_INTERVAL_MS, signal);
+      if (signal.aborted) return err(createError('cancelled', 'the debit has ended'));
+      const answer = await network.call(holder, methods.ping, {}, { timeoutMs: PING_TIMEOUT_MS });
+      if (answer.isErr()) return err(answer.error);
+    }
+  };
+
   const ask = async (req: DebitRequest, holder: VmId, waitMs: number): Promise<DebitResult> => {
     const { organisation, requestId, tokens } = req;
     const id = `${requestId}/${randomUUID()}`;
     const cancel = (): void => sendRefund(holder, { organisation, id, tokens });
     req.signal?.addEventListener('abort', cancel, { once: true });
     const sentAt = monotonicMs();
-    const result = await network.call<DebitReply>(
-      holder,
-      methods.debit,
-      { organisation, tokens, waitMs, id },
-      { timeoutMs: waitMs + GRANT_VALIDITY_MS },
-    );
+    const done = new AbortController();
+    const result = await Promise.race([
+      network.call<DebitReply>(
+        holder,
+        methods.debit,
+        { organisation, tokens, waitMs, id },
+        { timeoutMs: waitMs + GRANT_VALIDITY_MS },
+      ),
+      waitForSilence(holder, done.signal),
+    ]);
+    done.abort();
     req.signal?.removeEventListener('abort', cancel);
     if (result.isErr()) {
       // The debit may have taken effect; whoever reads a reply after this must not use it.
--- a/packages/quota/src/escrow-quota.ts
+++ b/packages/quota/src/escrow-quota.ts
@@ -154,8 +154,10 @@
   return {
     ...createQuotaClient({ network, configuration, rings, telemetry }),
     balances: holder.balances,
-    isReady: () =>
-      [dataCentre, ...configuration.dataCentres()].some((name) => rings.get(name) !== undefined),
+    isReady: () => {
+      const names = configuration.dataCentres();
+      return names.length === 0 || names.some((name) => rings.get(name) !== undefined);
+    },
     start: async () => {
       void repeatUntilAborted(stopping.signal, () => ADOPTION_INTERVAL_MS, advance);
       void repeatUntilAborted(
--- a/packages/quota/src/holder.ts
+++ b/packages/quota/src/holder.ts
@@ -133,6 +133,7 @@
     const debit = params as DebitParams;
     return getShare(debit.organisation).debit(debit);
   });
+  network.handle(methods.ping, async () => ({}));
   network.handle(methods.refund, async (params) => refund(params as RefundParams));
   network.handle(methods.borrow, async (params) => {
     const loan = params as BorrowParams;
--- a/packages/quota/src/messages.ts
+++ b/packages/quota/src/messages.ts
@@ -7,6 +7,7 @@
   borrow: 'quota.borrow',
   settle: 'quota.settle',
   adopt: 'quota.adopt',
+  ping: 'quota.ping',
 } as const;
 
 export interface DebitParams {
--- a/packages/quota/src/types.ts
+++ b/packages/quota/src/types.ts
@@ -38,7 +38,10 @@
   /** Gives back the unused part of a charge. Never fails; lost refunds are lost tokens. */
   refund(charge: Charge, tokens: number): void;
   balances(): readonly BalanceReport[];
-  /** Whether the ring of any data centre is known, so that debits have holders to ask. */
+  /**
+   * Whether the ring of any data centre is known, so that debits have holders to ask. Before the
+   * first pools table there is nothing to ask for.
+   */
   isReady(): boolean;
   start(): Promise<void>;
   /** Hands this VM's balances over and leaves the ring. */
--- a/packages/quota/test/ring.test.ts
+++ b/packages/quota/test/ring.test.ts
@@ -207,3 +207,19 @@
   await fleet.run(20_000);
   expect(readRing('a')?.members).toContain('a3');
 });
+
+test('a holder that vanishes without closing its connections costs a debit about a second', async () => {
+  await startFilled({ a: ['a1', 'a2', 'a3'] });
+  const asking = fleet.names.find((name) => !holders().includes(name)) ?? '';
+  const [vanished = ''] = holders();
+  fleet.get(vanished).paused = true;
+  const debits = [fleet.debit(asking, 10, 5_000), fleet.debit(asking, 10, 5_000)];
+  let settled = 0;
+  const countSettled = (): void => {
+    settled += 1;
+  };
+  for (const debit of debits) void debit.then(countSettled);
+  await fleet.run(2_000);
+  expect(settled).toBe(2);
+  for (const debit of debits) expect((await debit).result.isOk()).toBe(true);
+});
