Accept an engine that serves both roles for either role of the table

Cause: an engine that reports the role both differed from prefill or decode in the pools table, so it was held back until it was idle and ordered. Seen when the README's by-hand path was tried: 503 'no upstream of pool notes is in service'. The new test failed before.

--- a/packages/reconciler/src/model-orders.ts
+++ b/packages/reconciler/src/model-orders.ts
@@ -150,7 +150,9 @@
 
   const isMisplaced = ({ id, role }: UpstreamEntry): boolean => {
     const reported = roles.get(id);
-    return reported !== undefined && role !== 'plain' && reported !== role;
+    // An engine that serves both roles serves the one in the table too.
+    if (reported === undefined || reported === 'both') return false;
+    return role !== 'plain' && reported !== role;
   };
 
   /** Brings an engine to the role that the table states, after its running work has ended. */
--- a/packages/reconciler/test/model-orders.test.ts
+++ b/packages/reconciler/test/model-orders.test.ts
@@ -126,3 +126,12 @@
   await vi.advanceTimersByTimeAsync(120_000);
   expect(allOrders()).toEqual([]);
 });
+
+test('an engine that serves both roles is not ordered to one of them', async () => {
+  const { orders, allOrders, d1, entries } = arrange();
+  d1.load = { ...d1.load, role: 'both' };
+  orders.start();
+  await vi.advanceTimersByTimeAsync(60_000);
+  expect(allOrders()).toEqual([]);
+  expect(orders.isHeldBack(entries.get('d1') ?? createEngineEntry('d1', 'prefill'))).toBe(false);
+});
