--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,8 +1,4 @@
 /** The HTTP server for callers. */
-import { createServer } from 'node:http';
-import type { Server } from 'node:http';
-import type { AddressInfo } from 'node:net';
-import { getRequestListener } from '@hono/node-server';
 import type { HttpBindings } from '@hono/node-server';
 import { RESPONSE_ALREADY_SENT } from '@hono/node-server/utils/response';
 import { sleep } from '@hibiscusbank/core';
@@ -12,6 +8,7 @@
 import type { Exchange } from './admission.js';
 import { createClaims } from './claims.js';
 import { formatError } from './error-response.js';
+import { createHttpServer } from './http-server.js';
 import { createLatencyWindow } from './latency-window.js';
 import type { LatencyWindow } from './latency-window.js';
 import { listModels } from './list-models.js';
@@ -43,7 +40,6 @@
   const { telemetry } = options;
   const admission = createAdmission(options);
   const claims = createClaims(options.objectApi);
-  let server: Server | undefined;
   let draining = false;
   /** Requests being served, also those whose body is still being read. */
   let serving = 0;
@@ -97,29 +93,12 @@
     return RESPONSE_ALREADY_SENT;
   });
 
-  const close = async (): Promise<void> => {
-    claims.stop();
-    const closing = server;
-    server = undefined;
-    if (closing === undefined) return;
-    await new Promise<void>((resolve) => {
-      closing.close(() => resolve());
-      closing.closeIdleConnections();
-    });
-  };
+  const server = createHttpServer(app.fetch, options.listen);
 
   return {
     serve,
-    start: () =>
-      new Promise((resolve, reject) => {
-        const listener = getRequestListener(app.fetch, { overrideGlobalObjects: false });
-        server = createServer((req, res) => {
-          void listener(req, res);
-        });
-        server.once('error', reject);
-        server.listen(options.listen.port, options.listen.host, () => resolve());
-      }),
-    port: () => (server?.address() as AddressInfo | null)?.port ?? 0,
+    start: server.start,
+    port: server.port,
     activeRequests: admission.activeRequests,
     beginDrain: () => {
       draining = true;
@@ -129,12 +108,13 @@
       while (serving > 0 && performance.now() < deadline) await sleep(IDLE_CHECK_MS);
       return serving;
     },
-    stop: close,
+    stop: async () => {
+      claims.stop();
+      await server.close();
+    },
     kill: async () => {
-      const closing = server;
-      const closed = close();
-      closing?.closeAllConnections();
-      await closed;
+      claims.stop();
+      await server.kill();
     },
   };
 }
--- a/packages/node/src/admin.ts
+++ b/packages/node/src/admin.ts
@@ -1,9 +1,6 @@
 /** Health checks, metrics and status for operators. */
-import { createServer } from 'node:http';
-import type { Server } from 'node:http';
-import type { AddressInfo } from 'node:net';
-import { getRequestListener } from '@hono/node-server';
 import { keyDigest, poolId } from '@hibiscusbank/core';
+import { createHttpServer } from '@hibiscusbank/gateway';
 import { Hono } from 'hono';
 import type { RouterNode } from './types.js';
 
@@ -45,7 +42,6 @@
 export function createAdminServer(options: AdminOptions): AdminServer {
   const { node } = options;
   const app = new Hono();
-  let server: Server | undefined;
   app.get('/healthz', (c) => c.text('ok\n'));
   app.get('/readyz', (c) => {
     const obstacle = options.findObstacle();
@@ -70,25 +66,6 @@
     await node.configuration.withdrawKey(keyDigest(digest));
     return c.json({ withdrawn: digest });
   });
-  return {
-    start: () =>
-      new Promise((resolve, reject) => {
-        const listener = getRequestListener(app.fetch, { overrideGlobalObjects: false });
-        server = createServer((req, res) => {
-          void listener(req, res);
-        });
-        server.once('error', reject);
-        server.listen(options.listen.port, options.listen.host, () => resolve());
-      }),
-    port: () => (server?.address() as AddressInfo | null)?.port ?? 0,
-    stop: async () => {
-      const closing = server;
-      server = undefined;
-      if (closing === undefined) return;
-      await new Promise<void>((resolve) => {
-        closing.close(() => resolve());
-        closing.closeAllConnections();
-      });
-    },
-  };
+  const server = createHttpServer(app.fetch, options.listen);
+  return { start: server.start, port: server.port, stop: server.kill };
 }
