--- a/packages/quota/src/escrow-quota.ts
+++ b/packages/quota/src/escrow-quota.ts
@@ -156,7 +156,7 @@
     balances: holder.balances,
     isReady: () => {
       const names = configuration.dataCentres();
-      return names.length === 0 || names.some((name) => rings.get(name) !== undefined);
+      return !names.includes(dataCentre) || names.some((name) => rings.get(name) !== undefined);
     },
     start: async () => {
       void repeatUntilAborted(stopping.signal, () => ADOPTION_INTERVAL_MS, advance);
--- a/packages/quota/src/types.ts
+++ b/packages/quota/src/types.ts
@@ -39,8 +39,8 @@
   refund(charge: Charge, tokens: number): void;
   balances(): readonly BalanceReport[];
   /**
-   * Whether the ring of any data centre is known, so that debits have holders to ask. Before the
-   * first pools table there is nothing to ask for.
+   * Whether the ring of any data centre is known, so that debits have holders to ask. A data
+   * centre that the pools table does not name has no ring to wait for.
    */
   isReady(): boolean;
   start(): Promise<void>;
