--- a/packages/quota/test/support.ts
+++ b/packages/quota/test/support.ts
@@ -12,14 +12,10 @@
   withTimeout,
 } from '@hibiscusbank/core';
 import type { DataCentreId, Random, RouterError, VmId } from '@hibiscusbank/core';
-import type {
-  ConfigurationEntry,
-  ConfigurationReplica,
-  Organisation,
-} from '@hibiscusbank/configuration';
+import type { ConfigurationEntry } from '@hibiscusbank/configuration';
 import type { Membership, PeerHandler, PeerNetwork } from '@hibiscusbank/peers';
 import { createEscrowQuota } from '@hibiscusbank/quota';
-import type { Charge, Quota } from '@hibiscusbank/quota';
+import type { Charge } from '@hibiscusbank/quota';
 import { ResultAsync } from 'neverthrow';
 import { vi } from 'vitest';
 import {
@@ -28,39 +24,12 @@
   createTestTelemetry,
 } from '../../platform/test/support.js';
 
-export const ORG = organisationId('org');
+import { createFakeReplica } from './fake-replica.js';
+import type { Admission, FleetOptions, TestNode } from './fleet-types.js';
 
-export interface TestNode {
-  readonly vm: VmId;
-  readonly dataCentre: DataCentreId;
-  alive: boolean;
-  paused: boolean;
-  leaving: boolean;
-  /** Messages that wait until the node is no longer paused. */
-  readonly held: (() => void)[];
-  lastContact: number;
-  readonly quota: Quota;
-  readonly handlers: Map<string, PeerHandler>;
-  readonly entries: Map<string, ConfigurationEntry>;
-  readonly applyEntry: (entry: ConfigurationEntry) => void;
-  readonly faults: ReturnType<typeof createFakeObjectApi>['faults'];
-  readonly telemetry: ReturnType<typeof createTestTelemetry>;
-}
+export type { Admission, TestNode } from './fleet-types.js';
 
-export interface FleetOptions {
-  readonly vms: Readonly<Record<string, readonly string[]>>;
-  readonly ratePerS: number;
-  readonly burst: number;
-  readonly seed?: number;
-  readonly dataCentres?: readonly string[];
-}
-
-/** One admitted request; `used` is what it really took. */
-export interface Admission {
-  readonly at: number;
-  readonly charged: number;
-  used: number;
-}
+export const ORG = organisationId('org');
 
 const DELAY_MS = 2;
 
@@ -156,38 +125,12 @@
     return ResultAsync.fromPromise(send(), (thrown) => toRouterError(thrown));
   };
 
-  const createReplica = (entries: Map<string, ConfigurationEntry>) => {
-    const listeners = new Set<(entry: ConfigurationEntry) => void>();
-    const read = (key: string) => entries.get(key)?.value;
-    const replica = {
-      revision: () => Math.max(0, ...[...entries.values()].map((entry) => entry.revision)),
-      isReady: () => entries.size > 0,
-      organisation: (id: string) => read(`config/organisations/${id}`) as Organisation | undefined,
-      organisations: () =>
-        [...entries.values()]
-          .filter((entry) => entry.key.startsWith('config/organisations/'))
-          .map((entry) => entry.value as Organisation),
-      ring: () => undefined,
-      dataCentres: () => (read('config/pools/names') ?? []) as readonly DataCentreId[],
-      onChange: (listener: (entry: ConfigurationEntry) => void) => {
-        listeners.add(listener);
-        return () => listeners.delete(listener);
-      },
-    } as unknown as ConfigurationReplica;
-    const applyEntry = (entry: ConfigurationEntry): void => {
-      if ((entries.get(entry.key)?.revision ?? 0) >= entry.revision) return;
-      entries.set(entry.key, entry);
-      listeners.forEach((listener) => listener(entry));
-    };
-    return { replica, applyEntry };
-  };
-
   const startNode = (name: string): TestNode => {
     const dc = Object.entries(options.vms).find(([, vms]) => vms.includes(name))?.[0] ?? '';
     const self = { vm: vmId(name), dataCentre: dataCentreId(dc) };
     const handlers = new Map<string, PeerHandler>();
     const entries = new Map<string, ConfigurationEntry>();
-    const { replica, applyEntry } = createReplica(entries);
+    const { replica, applyEntry } = createFakeReplica(entries);
     const { api, faults } = createFakeObjectApi(store);
     const telemetry = createTestTelemetry();
     const ref: { node?: TestNode } = {};
