--- a/packages/bench/src/harness/processes.ts
+++ b/packages/bench/src/harness/processes.ts
@@ -31,6 +31,10 @@
 process.on('exit', () => {
   for (const child of running) child.kill('SIGKILL');
 });
+// A signal ends a process without the event above, and would leave its children behind.
+for (const signal of ['SIGINT', 'SIGTERM', 'SIGHUP'] as const) {
+  process.once(signal, () => process.exit(1));
+}
 
 async function readUsage(pid: number): Promise<ProcessUsage> {
   const [stat, status] = await Promise.all([
