--- a/eslint.config.js
+++ b/eslint.config.js
@@ -2,7 +2,7 @@
 import prettier from 'eslint-config-prettier';
 
 export default [
-  { ignores: ['**/dist/**', '**/node_modules/**'] },
+  { ignores: ['**/dist/**', 'target/**', 'journal/**', '**/node_modules/**'] },
   plugins.stylistic,
   plugins.importX,
   plugins.typescriptEslint,
@@ -38,7 +38,7 @@
     },
   },
   {
-    files: ['packages/*/test/**'],
+    files: ['packages/*/test/**', 'platform/test/**'],
     // neverthrow names the accessors for tests with an underscore.
     rules: { 'no-underscore-dangle': ['error', { allow: ['_unsafeUnwrap', '_unsafeUnwrapErr'] }] },
   },
--- a/packages/core/src/events.ts
+++ b/packages/core/src/events.ts
@@ -16,7 +16,8 @@
 
 /**
  * All events by name. Ranges: 1000 node, 1100 configuration, 1200 membership, 1300 quota,
- * 1400 scheduler, 1500 gateway, 1600 platform, 1700 reconciliation with engines, 1900 invariants.
+ * 1400 scheduler, 1500 gateway, 1600 platform, 1700 reconciliation with engines, 1800 serving on the platform,
+ * 1900 invariants.
  */
 export const events = {
   nodeStarted: define(1001, 'info', 'node started'),
@@ -82,6 +83,27 @@
   leaseReleased: define(1603, 'info', 'lease released'),
   leaseCallFailed: define(1604, 'warn', 'read or write of a lease failed'),
 
+  storeLost: define(1605, 'warn', 'the store does not answer'),
+  storeRegained: define(1606, 'info', 'the store answers again'),
+
+  upstreamChanged: define(1801, 'info', 'upstream registered or changed'),
+  upstreamGone: define(1802, 'info', 'upstream no longer registered'),
+  dataCentreOut: define(1803, 'info', 'data centre taken out of service'),
+  dataCentreBack: define(1804, 'info', 'data centre back in service'),
+  peerHeard: define(1805, 'info', 'peer reports'),
+  peerSilent: define(1806, 'warn', 'peer no longer reports'),
+  peerReportRejected: define(1807, 'warn', 'peer report not sent or not accepted'),
+  peerListRead: define(1808, 'info', 'list read from a peer'),
+  nodeForgotten: define(1809, 'info', 'unreachable node taken off the registry'),
+  reservationRefused: define(1810, 'info', 'engine refused a reservation'),
+  prefillFailed: define(1811, 'warn', 'prefill failed'),
+  runFailed: define(1812, 'warn', 'run of a stream failed'),
+  upstreamAnswered: define(1813, 'info', 'plain upstream answered'),
+  requestFailed: define(1814, 'error', 'request ended by an unexpected error'),
+  logLinesDropped: define(1815, 'warn', 'log lines dropped'),
+  freeFailed: define(1817, 'info', 'reservation or KV cache could not be freed; it lapses'),
+  settingsReloaded: define(1816, 'info', 'settings read again'),
+
   invariantViolated: define(1901, 'error', 'invariant violated'),
 } as const satisfies Record<string, EventDefinition>;
 
--- a/packages/gateway/src/http-server.ts
+++ b/packages/gateway/src/http-server.ts
@@ -15,10 +15,16 @@
   kill(): Promise<void>;
 }
 
+export interface HttpServerOptions {
+  /** Time after which an idle connection is closed, read for each new connection. */
+  readonly idleTimeoutMs?: () => number;
+}
+
 /** Creates the server; nothing listens before `start`. */
 export function createHttpServer(
   fetch: Parameters<typeof getRequestListener>[0],
   listen: { readonly host: string; readonly port: number },
+  options: HttpServerOptions = {},
 ): HttpServer {
   let server: Server | undefined;
 
@@ -39,6 +45,14 @@
         server = createServer((req, res) => {
           void listener(req, res);
         });
+        const { idleTimeoutMs } = options;
+        if (idleTimeoutMs !== undefined) {
+          const opened = server;
+          opened.keepAliveTimeout = idleTimeoutMs();
+          opened.on('connection', () => {
+            opened.keepAliveTimeout = idleTimeoutMs();
+          });
+        }
         server.once('error', reject);
         server.listen(listen.port, listen.host, () => resolve());
       }),
--- /dev/null
+++ b/packages/serving/src/heard-peers.ts
@@ -0,0 +1,38 @@
+/** The last report of each node that was heard from lately. */
+import { monotonicMs } from '@hibiscusbank/core';
+import type { PeerReport } from './peer-reports.js';
+
+export interface HeardPeers {
+  /** Returns false for a report that is older than the one known. */
+  note(report: PeerReport): boolean;
+  /** Drops peers that were silent for longer and returns their names. */
+  dropSilent(limitMs: number): readonly string[];
+  has(node: string): boolean;
+  reports(): readonly PeerReport[];
+}
+
+function isOlder(report: PeerReport, known: PeerReport): boolean {
+  if (report.startedAt !== known.startedAt) return report.startedAt < known.startedAt;
+  return report.sequence <= known.sequence;
+}
+
+/** Creates an empty set. */
+export function createHeardPeers(): HeardPeers {
+  const heard = new Map<string, { readonly report: PeerReport; readonly at: number }>();
+  return {
+    note: (report) => {
+      const known = heard.get(report.node)?.report;
+      if (known !== undefined && isOlder(report, known)) return false;
+      heard.set(report.node, { report, at: monotonicMs() });
+      return true;
+    },
+    dropSilent: (limitMs) => {
+      const limit = monotonicMs() - limitMs;
+      const silent = [...heard].filter(([, { at }]) => at < limit).map(([node]) => node);
+      for (const node of silent) heard.delete(node);
+      return silent;
+    },
+    has: (node) => heard.has(node),
+    reports: () => [...heard.values()].map(({ report }) => report),
+  };
+}
--- /dev/null
+++ b/packages/serving/src/http-exchange.ts
@@ -0,0 +1,201 @@
+/** One HTTP request on a pooled connection, with what is known of it when it fails. */
+import type { IncomingHttpHeaders } from 'node:http';
+import type { Socket } from 'node:net';
+import { buildConnector, Pool } from 'undici';
+import type { Dispatcher } from 'undici';
+
+/** Upstreams are a few milliseconds away; a VM that is gone does not answer at all. */
+const CONNECT_TIMEOUT_MS = 400;
+/** Idle connections are kept this long unless the upstream states less; new ones cost both sides. */
+const KEEP_ALIVE_TIMEOUT_MS = 20_000;
+/** Stated limits are whole seconds, so a connection is not used in the last part of one. */
+const KEEP_ALIVE_MARGIN_MS = 700;
+/** Probes show connections that went silent without a reset. */
+const TCP_PROBE_DELAY_MS = 1_000;
+
+/** Marks resets, so that they are never taken for the end of an answer without a length. */
+const RESET_CODE = 'ECONNRESET_UPSTREAM';
+
+export interface ExchangeCall {
+  readonly method: string;
+  readonly path: string;
+  readonly headers: Readonly<Record<string, string>>;
+  readonly body?: Buffer | string | undefined;
+  readonly signal?: AbortSignal | undefined;
+}
+
+export interface ExchangeReply {
+  readonly status: number;
+  readonly headers: IncomingHttpHeaders;
+  /** Starts delivery; resolves true when the body is whole. Call once. */
+  read(onData: (chunk: Buffer) => void): Promise<boolean>;
+  pause(): void;
+  resume(): void;
+  /** Closes the connection. */
+  abort(): void;
+}
+
+export type ExchangeResult =
+  | { readonly ok: true; readonly reply: ExchangeReply }
+  /** `wasSent`: whether any byte of the request can have left this process. */
+  | { readonly ok: false; readonly wasSent: boolean; readonly error: Error };
+
+const baseConnect = buildConnector({
+  timeout: CONNECT_TIMEOUT_MS,
+  keepAlive: true,
+  keepAliveInitialDelay: TCP_PROBE_DELAY_MS,
+});
+
+/** Set while the end of a connection is handled that was reset, so that its answer is not whole. */
+let isEndOfReset = false;
+
+/**
+ * A reset that arrives together with data is reported as the end of the connection. A connection
+ * that its peer only closed still has a peer address; one that was reset has none. The address must
+ * not be read before, since the runtime caches it.
+ */
+function noteEnd(this: Socket): void {
+  if (this.remoteAddress !== undefined) return;
+  isEndOfReset = true;
+  queueMicrotask(() => {
+    isEndOfReset = false;
+  });
+}
+
+/**
+ * Connects and tells resets from ends. The HTTP client takes `ECONNRESET` after the head of an answer
+ * without a length for its end, which would pass a cut body on as whole.
+ */
+const connect: buildConnector.connector = (options, callback) => {
+  baseConnect(options, (...result: Parameters<typeof callback>) => {
+    const [, socket] = result as [Error | null, Socket | null];
+    socket?.prependListener('error', (err: NodeJS.ErrnoException) => {
+      if (err.code === 'ECONNRESET') err.code = RESET_CODE;
+    });
+    socket?.prependListener('end', noteEnd);
+    callback(...result);
+  });
+};
+
+/** Creates the connections to one upstream. */
+export function createConnections(address: string, maxConnections: number): Pool {
+  return new Pool(`http://${address}`, {
+    connections: maxConnections,
+    pipelining: 1,
+    keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
+    keepAliveMaxTimeout: KEEP_ALIVE_TIMEOUT_MS,
+    keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
+    headersTimeout: 0,
+    bodyTimeout: 0,
+    connect,
+  });
+}
+
+interface Delivery {
+  listener: ((chunk: Buffer) => void) | undefined;
+  early: Buffer[];
+  outcome: boolean | undefined;
+  onOutcome: ((whole: boolean) => void) | undefined;
+}
+
+function createReply(
+  status: number,
+  headers: IncomingHttpHeaders,
+  delivery: Delivery,
+  controller: Dispatcher.DispatchController,
+): ExchangeReply {
+  return {
+    status,
+    headers,
+    read: (onData) => {
+      delivery.listener = onData;
+      for (const chunk of delivery.early) onData(chunk);
+      delivery.early = [];
+      if (delivery.outcome !== undefined) return Promise.resolve(delivery.outcome);
+      return new Promise((resolve) => {
+        delivery.onOutcome = resolve;
+      });
+    },
+    pause: () => controller.pause(),
+    resume: () => controller.resume(),
+    abort: () => controller.abort(new Error('the request was given up')),
+  };
+}
+
+/** Sends a request. Resolves when the head of the answer has arrived or the exchange failed. */
+export function openExchange(connections: Dispatcher, call: ExchangeCall): Promise<ExchangeResult> {
+  return new Promise((resolve) => {
+    const { signal } = call;
+    const delivery: Delivery = {
+      listener: undefined,
+      early: [],
+      outcome: undefined,
+      onOutcome: undefined,
+    };
+    let wasSent = false;
+    let settled = false;
+    let aborting: Error | undefined;
+    let control: Dispatcher.DispatchController | undefined;
+
+    const finish = (whole: boolean): void => {
+      delivery.outcome ??= whole;
+      delivery.onOutcome?.(whole);
+    };
+    const settle = (result: ExchangeResult): void => {
+      if (settled) return;
+      settled = true;
+      resolve(result);
+    };
+    const onAbort = (): void => {
+      aborting = new Error('the request was given up');
+      control?.abort(aborting);
+      settle({ ok: false, wasSent, error: aborting });
+    };
+    const cleanUp = (): void => signal?.removeEventListener('abort', onAbort);
+    if (signal?.aborted) {
+      settle({ ok: false, wasSent: false, error: new Error('the request was given up') });
+      return;
+    }
+    signal?.addEventListener('abort', onAbort, { once: true });
+
+    connections.dispatch(
+      {
+        method: call.method,
+        path: call.path,
+        headers: call.headers,
+        body: call.body ?? null,
+      },
+      {
+        onRequestStart: (controller) => {
+          control = controller;
+          if (aborting !== undefined) controller.abort(aborting);
+          else wasSent = true;
+        },
+        onResponseStart: (controller, status, headers) => {
+          if (status < 200) return;
+          settle({ ok: true, reply: createReply(status, headers, delivery, controller) });
+        },
+        onResponseData: (_, chunk) => {
+          if (delivery.listener === undefined) delivery.early.push(chunk);
+          else delivery.listener(chunk);
+        },
+        onResponseEnd: () => {
+          cleanUp();
+          finish(!isEndOfReset);
+        },
+        onResponseError: (_, error) => {
+          cleanUp();
+          settle({ ok: false, wasSent, error });
+          finish(false);
+        },
+      },
+    );
+  });
+}
+
+/** Reads a body into memory; `undefined` when it is not whole. */
+export async function readWhole(reply: Pick<ExchangeReply, 'read'>): Promise<Buffer | undefined> {
+  const chunks: Buffer[] = [];
+  const whole = await reply.read((chunk) => chunks.push(chunk));
+  return whole ? Buffer.concat(chunks) : undefined;
+}
--- /dev/null
+++ b/packages/serving/src/line-log.ts
@@ -0,0 +1,50 @@
+/** Writes log events as JSON lines without waiting for their reader. */
+import type { LogSink } from '@hibiscusbank/core';
+
+const FLUSH_INTERVAL_MS = 200;
+/** Lines kept for a reader that is slow; more are dropped and counted. */
+const MAX_LINES = 2_000;
+/** Debug events are one per step; the rest tells the story of a request. */
+const QUIET_LEVELS: ReadonlySet<string> = new Set(['debug']);
+
+export interface LineLog {
+  readonly sink: LogSink;
+  flush(): void;
+}
+
+export interface LineStream {
+  write(text: string): boolean;
+  readonly writableNeedDrain: boolean;
+}
+
+/** Creates a log that writes to a stream, several lines at a time. */
+export function createLineLog(stream: LineStream): LineLog {
+  let lines: string[] = [];
+  let dropped = 0;
+
+  const flush = (): void => {
+    if (lines.length === 0 || stream.writableNeedDrain) return;
+    if (dropped > 0) {
+      lines.push(
+        JSON.stringify({ time: Date.now(), level: 'warn', text: 'log lines dropped', dropped }),
+      );
+      dropped = 0;
+    }
+    stream.write(`${lines.join('\n')}\n`);
+    lines = [];
+  };
+
+  setInterval(flush, FLUSH_INTERVAL_MS).unref();
+
+  return {
+    flush,
+    sink: (level, context, text) => {
+      if (QUIET_LEVELS.has(level)) return;
+      if (lines.length >= MAX_LINES) {
+        dropped += 1;
+        return;
+      }
+      lines.push(JSON.stringify({ time: Date.now(), level, text, ...context }));
+    },
+  };
+}
--- /dev/null
+++ b/packages/serving/src/node-registry.ts
@@ -0,0 +1,86 @@
+/** Nodes register themselves in the platform's store and find each other there. */
+import { monotonicMs, sleep } from '@hibiscusbank/core';
+import type { Telemetry } from '@hibiscusbank/core';
+import type { EntryStore, StoredEntry } from './ports.js';
+import type { KnownPeer } from './peer-reports.js';
+
+/** Pause between two reads of the list. */
+const READ_INTERVAL_MS = 2_000;
+const RETRY_INTERVAL_MS = 250;
+/** A node that nobody has heard from for this long is taken off the list. */
+const FORGET_AFTER_MS = 25_000;
+
+export interface NodeRegistry {
+  /** Registered nodes without this one. */
+  peers(): readonly KnownPeer[];
+  /** Names of all registered nodes, this one included. */
+  names(): readonly string[];
+  run(signal: AbortSignal): Promise<void>;
+}
+
+export interface NodeRegistryOptions {
+  readonly self: KnownPeer;
+  readonly store: EntryStore;
+  readonly telemetry: Telemetry;
+  readonly isReachable: (node: string) => boolean;
+}
+
+function decodePeer({ name, value }: StoredEntry): KnownPeer | undefined {
+  const spec = value as Partial<KnownPeer> | null;
+  if (typeof spec?.host !== 'string' || typeof spec.port !== 'number') return undefined;
+  return { node: name, host: spec.host, port: spec.port };
+}
+
+/** Creates the registry; nothing is called before `run`. */
+export function createNodeRegistry(options: NodeRegistryOptions): NodeRegistry {
+  const { self, store, telemetry, isReachable } = options;
+  let peers: readonly KnownPeer[] = [];
+  const unreachableSince = new Map<string, number>();
+
+  const register = async (): Promise<boolean> => {
+    const value = { host: self.host, port: self.port };
+    const current = await store.read(self.node);
+    if (current.isErr() && current.error !== 'absent') return false;
+    const known = current.isOk() ? decodePeer(current.value) : undefined;
+    if (known?.host === self.host && known.port === self.port) return true;
+    const revision = current.isOk() ? current.value.revision : undefined;
+    return (await store.write(self.node, value, revision)).isOk();
+  };
+
+  const forget = async (entries: readonly StoredEntry[]): Promise<void> => {
+    for (const entry of entries) {
+      if (entry.name === self.node || isReachable(entry.name)) {
+        unreachableSince.delete(entry.name);
+        continue;
+      }
+      const since = unreachableSince.get(entry.name) ?? monotonicMs();
+      unreachableSince.set(entry.name, since);
+      if (monotonicMs() - since < FORGET_AFTER_MS) continue;
+      const removed = await store.remove(entry.name, entry.revision);
+      telemetry.log('nodeForgotten', { peer: entry.name, removed: removed.isOk() });
+    }
+  };
+
+  const read = async (): Promise<boolean> => {
+    const listed = await store.list({ allowStale: true });
+    if (listed.isErr()) return false;
+    const { entries } = listed.value;
+    peers = entries
+      .map(decodePeer)
+      .filter((peer): peer is KnownPeer => peer !== undefined && peer.node !== self.node);
+    await forget(entries);
+    return entries.some(({ name }) => name === self.node);
+  };
+
+  return {
+    peers: () => peers,
+    names: () => [self.node, ...peers.map(({ node }) => node)],
+    run: async (signal) => {
+      while (!signal.aborted) {
+        const isListed = await read();
+        const isRegistered = isListed || (await register());
+        await sleep(isRegistered && isListed ? READ_INTERVAL_MS : RETRY_INTERVAL_MS, signal);
+      }
+    },
+  };
+}
--- /dev/null
+++ b/packages/serving/src/organisation-quota.ts
@@ -0,0 +1,93 @@
+/**
+ * Token rates of organisations, counted over all nodes. Each node keeps a bucket for each
+ * organisation that holds what the fleet may still spend; what other nodes spent arrives with their
+ * load reports. Nodes that do not hear from each other each keep to their group's part of the rate,
+ * so that the parts never add up to more than the whole.
+ */
+import { monotonicMs } from '@hibiscusbank/core';
+import type { OrganisationId } from '@hibiscusbank/core';
+import type { ServingOrganisation } from './types.js';
+
+const MS_PER_S = 1_000;
+
+export interface QuotaDecision {
+  readonly isGranted: boolean;
+  /** Time until the bucket holds enough; set for refusals. */
+  readonly retryAfterMs: number;
+}
+
+export interface OrganisationQuota {
+  debit(organisation: ServingOrganisation, tokens: number): QuotaDecision;
+  /** Gives back what a request that did not run was charged. */
+  refund(organisation: OrganisationId, tokens: number): void;
+  /** Total that this node has spent for each organisation since its start. */
+  spent(): Readonly<Record<string, number>>;
+  /** Applies the totals of another node; `epoch` changes when that node restarts. */
+  applyPeer(peer: string, epoch: number, spent: Readonly<Record<string, number>>): void;
+}
+
+interface Bucket {
+  tokens: number;
+  burst: number;
+  refilledAt: number;
+}
+
+/** Creates the quota of one node; `groupShare` is the part of all nodes that it hears, 0 to 1. */
+export function createOrganisationQuota(groupShare: () => number): OrganisationQuota {
+  const buckets = new Map<string, Bucket>();
+  const own = new Map<string, number>();
+  const peers = new Map<string, { epoch: number; spent: Map<string, number> }>();
+
+  const refill = (organisation: ServingOrganisation): Bucket => {
+    const now = monotonicMs();
+    const share = groupShare();
+    const burst = organisation.burst * share;
+    let bucket = buckets.get(organisation.id);
+    if (bucket === undefined) {
+      bucket = { tokens: burst, burst, refilledAt: now };
+      buckets.set(organisation.id, bucket);
+    }
+    const gained = ((now - bucket.refilledAt) / MS_PER_S) * organisation.ratePerSecond * share;
+    bucket.tokens = Math.min(burst, bucket.tokens + gained);
+    bucket.burst = burst;
+    bucket.refilledAt = now;
+    return bucket;
+  };
+
+  const subtract = (organisation: string, tokens: number): void => {
+    const bucket = buckets.get(organisation);
+    if (bucket !== undefined) bucket.tokens = Math.min(bucket.burst, bucket.tokens - tokens);
+  };
+
+  return {
+    debit: (organisation, tokens) => {
+      if (organisation.ratePerSecond === 0) return { isGranted: true, retryAfterMs: 0 };
+      const bucket = refill(organisation);
+      // A request larger than the burst is granted from a full bucket, else it could never run.
+      const needed = Math.min(tokens, bucket.burst);
+      if (bucket.tokens < needed) {
+        const ratePerMs = (organisation.ratePerSecond * groupShare()) / MS_PER_S;
+        return { isGranted: false, retryAfterMs: (needed - bucket.tokens) / ratePerMs };
+      }
+      bucket.tokens -= tokens;
+      own.set(organisation.id, (own.get(organisation.id) ?? 0) + tokens);
+      return { isGranted: true, retryAfterMs: 0 };
+    },
+    refund: (organisation, tokens) => {
+      subtract(organisation, -tokens);
+      own.set(organisation, (own.get(organisation) ?? 0) - tokens);
+    },
+    spent: () => Object.fromEntries(own),
+    applyPeer: (peer, epoch, spent) => {
+      let known = peers.get(peer);
+      if (known === undefined || known.epoch !== epoch) {
+        known = { epoch, spent: new Map() };
+        peers.set(peer, known);
+      }
+      for (const [organisation, total] of Object.entries(spent)) {
+        subtract(organisation, total - (known.spent.get(organisation) ?? 0));
+        known.spent.set(organisation, total);
+      }
+    },
+  };
+}
--- /dev/null
+++ b/packages/serving/src/peer-lists.ts
@@ -0,0 +1,120 @@
+/**
+ * Lists that nodes take from each other. A node that the store does not answer, or whose watch went
+ * silent, learns from reports that peers know more, and reads the list of the peer that knows most.
+ */
+import { monotonicMs } from '@hibiscusbank/core';
+import type { Telemetry } from '@hibiscusbank/core';
+import { Hono } from 'hono';
+import { Agent } from 'undici';
+import type { ObjectFeed } from './object-feed.js';
+import { openExchange, readWhole } from './http-exchange.js';
+import type { PeerReport } from './peer-reports.js';
+import type { EntryList } from './ports.js';
+import { startTimeLimit } from './time-limit.js';
+
+/** Time in which the node's own watch usually brings what a peer reports. */
+const OWN_WATCH_MS = 450;
+const CHECK_INTERVAL_MS = 150;
+const READ_TIMEOUT_MS = 1_000;
+const PATH = '/lists/';
+
+export interface PeerListsOptions {
+  readonly feeds: Readonly<Record<string, ObjectFeed>>;
+  /** Last reports of the reachable peers. */
+  readonly reports: () => readonly PeerReport[];
+  readonly telemetry: Telemetry;
+}
+
+export interface PeerLists {
+  /** Answers peers. */
+  readonly app: Hono;
+  start(): void;
+  stop(): void;
+}
+
+function isEntryList(value: unknown): value is EntryList {
+  const list = value as Partial<EntryList> | null;
+  return typeof list?.revision === 'number' && Array.isArray(list.entries);
+}
+
+/** Creates the exchange of lists of one node. */
+export function createPeerLists({ feeds, reports, telemetry }: PeerListsOptions): PeerLists {
+  const agent = new Agent({ keepAliveTimeout: 1_000 });
+  const behind = new Map<string, { readonly revision: number; readonly since: number }>();
+  const reading = new Set<string>();
+  let timer: NodeJS.Timeout | undefined;
+
+  const app = new Hono();
+  app.get(`${PATH}:kind`, (c) => {
+    const feed = feeds[c.req.param('kind')];
+    return feed === undefined ? c.notFound() : c.json(feed.list());
+  });
+
+  const read = async (peer: PeerReport, kind: string): Promise<EntryList | undefined> => {
+    const limit = startTimeLimit(new AbortController().signal, READ_TIMEOUT_MS);
+    const dispatcher = agent.compose(
+      (dispatch) => (options, handler) =>
+        dispatch({ ...options, origin: `http://${peer.host}:${peer.port}` }, handler),
+    );
+    const result = await openExchange(dispatcher, {
+      method: 'GET',
+      path: `${PATH}${kind}`,
+      headers: {},
+      signal: limit.signal,
+    });
+    const body =
+      result.ok && result.reply.status === 200 ? await readWhole(result.reply) : undefined;
+    limit.stop();
+    if (body === undefined) return undefined;
+    const value: unknown = JSON.parse(body.toString());
+    return isEntryList(value) ? value : undefined;
+  };
+
+  const readNewest = async (kind: string, feed: ObjectFeed): Promise<void> => {
+    const [peer] = [...reports()].sort(
+      (a, b) => (b.revisions[kind] ?? 0) - (a.revisions[kind] ?? 0),
+    );
+    if (peer === undefined || reading.has(kind)) return;
+    reading.add(kind);
+    try {
+      const list = await read(peer, kind);
+      const adopted = list !== undefined && feed.adopt(list);
+      telemetry.log('peerListRead', {
+        kind,
+        peer: peer.node,
+        revision: list?.revision,
+        adopted,
+        storeSilentMs: Math.round(feed.silenceMs()),
+      });
+    } catch (thrown) {
+      telemetry.log('peerListRead', { kind, peer: peer.node, error: String(thrown) });
+    } finally {
+      reading.delete(kind);
+    }
+  };
+
+  const check = (): void => {
+    const now = monotonicMs();
+    for (const [kind, feed] of Object.entries(feeds)) {
+      const newest = Math.max(0, ...reports().map(({ revisions }) => revisions[kind] ?? 0));
+      const known = behind.get(kind);
+      if (known !== undefined && feed.revision() >= known.revision) behind.delete(kind);
+      if (newest > feed.revision() && !behind.has(kind)) {
+        behind.set(kind, { revision: newest, since: now });
+      }
+      const lag = behind.get(kind);
+      if (lag !== undefined && now - lag.since >= OWN_WATCH_MS) void readNewest(kind, feed);
+    }
+  };
+
+  return {
+    app,
+    start: () => {
+      timer = setInterval(check, CHECK_INTERVAL_MS);
+    },
+    stop: () => {
+      clearInterval(timer);
+      void agent.close();
+    },
+  };
+}
--- /dev/null
+++ b/packages/serving/src/placement.ts
@@ -0,0 +1,116 @@
+/**
+ * Chooses upstreams from what the node knows: registered entries, work under way here and on other
+ * nodes, and recent failures. The choices are made without a network, so that tests can play loads.
+ */
+import type { DataCentreId, UpstreamId } from '@hibiscusbank/core';
+import type { KnownUpstream } from './directory.js';
+
+/** What a choice needs to know of one upstream. */
+export interface CandidateState {
+  readonly requests: number;
+  readonly tokens: number;
+  readonly failureRate: number;
+  readonly isEjected: boolean;
+  /** Cold upstreams take work only while their limit leaves room. */
+  readonly hasRoom: boolean;
+  readonly isCold: boolean;
+}
+
+export interface ChoiceContext {
+  readonly dataCentre: DataCentreId;
+  readonly read: (upstream: KnownUpstream) => CandidateState;
+  /** Upstreams that this request is not to be sent to again. */
+  readonly excluded: ReadonlySet<UpstreamId>;
+  /** Breaks ties, 0 to 1; nodes that know the same must not all choose the same. */
+  readonly random: () => number;
+}
+
+/** A failing upstream counts as this many requests under way at a failure rate of 1. */
+const FAILURE_PENALTY = 12;
+/** Part of a request by which an upstream in the node's data centre is preferred. */
+const LOCAL_BONUS = 0.4;
+/** Cold upstreams are slow; they count as having this many more requests. */
+const COLD_PENALTY = 4;
+/** Prompt tokens that count like one request when prefill engines are compared. */
+const TOKENS_PER_REQUEST = 2_500;
+
+/**
+ * Work under way is counted by what it reserves, which is more than it occupies most of the time.
+ * Engines within this much of their memory are still asked.
+ */
+const MEMORY_OVERCOMMIT = 1.1;
+
+interface Scored {
+  readonly upstream: KnownUpstream;
+  readonly score: number;
+}
+
+function rank(
+  candidates: readonly KnownUpstream[],
+  context: ChoiceContext,
+  scoreLoad: (state: CandidateState) => number,
+  preferred: DataCentreId,
+): KnownUpstream[] {
+  const scored: Scored[] = [];
+  const ejected: Scored[] = [];
+  for (const upstream of candidates) {
+    if (context.excluded.has(upstream.id)) continue;
+    const state = context.read(upstream);
+    if (!state.hasRoom) continue;
+    const score =
+      scoreLoad(state) +
+      state.failureRate * FAILURE_PENALTY +
+      (state.isCold ? COLD_PENALTY : 0) -
+      (upstream.dataCentre === preferred ? LOCAL_BONUS : 0) +
+      context.random() * LOCAL_BONUS * 0.5;
+    (state.isEjected ? ejected : scored).push({ upstream, score });
+  }
+  scored.sort((a, b) => a.score - b.score);
+  ejected.sort((a, b) => a.score - b.score);
+  // Upstreams that failed a moment ago are a last resort: with all of them failing, one must be tried.
+  const usable = scored.length > 0 ? scored : ejected;
+  return usable.map(({ upstream }) => upstream);
+}
+
+/** Orders plain upstreams by work under way. Load: many callers and few slots. */
+export function rankPlain(
+  candidates: readonly KnownUpstream[],
+  context: ChoiceContext,
+): KnownUpstream[] {
+  return rank(candidates, context, (state) => state.requests, context.dataCentre);
+}
+
+/** Orders prefill engines by prompt tokens under way, preferring the data centre of the decode engine. */
+export function rankPrefill(
+  candidates: readonly KnownUpstream[],
+  context: ChoiceContext,
+  decode: DataCentreId,
+): KnownUpstream[] {
+  const prefill = candidates.filter(({ role }) => role === 'prefill');
+  return rank(prefill, context, (state) => state.tokens / TOKENS_PER_REQUEST, decode);
+}
+
+/**
+ * Orders decode engines by memory under way. An engine is left out when the node knows that a
+ * reservation of `tokens` does not fit. Load: memory short on all engines.
+ */
+export function rankDecode(
+  candidates: readonly KnownUpstream[],
+  context: ChoiceContext,
+  need: { readonly tokens: number; readonly memoryTokens: number; readonly slots: number },
+): KnownUpstream[] {
+  const fitting = candidates.filter((upstream) => {
+    if (upstream.role !== 'decode') return false;
+    const state = context.read(upstream);
+    return (
+      state.tokens + need.tokens <= need.memoryTokens * MEMORY_OVERCOMMIT &&
+      state.requests < need.slots
+    );
+  });
+  return rank(
+    fitting,
+    context,
+    (state) => (state.tokens / need.memoryTokens) * need.slots,
+    context.dataCentre,
+  );
+}
--- /dev/null
+++ b/packages/serving/src/relay-events.ts
@@ -0,0 +1,38 @@
+/** Relays the events of one upstream's answer to the caller. */
+import { monotonicMs } from '@hibiscusbank/core';
+import type { ServerResponse } from 'node:http';
+import { createEventSplitter } from './event-splitter.js';
+import type { UpstreamReply } from './types.js';
+
+/** What the caller has of a stream; it outlives one run. */
+export interface StreamProgress {
+  lastId: string | undefined;
+  hasEvents: boolean;
+  lastEventAt: number;
+}
+
+/**
+ * Writes whole events as they arrive, so that a run that breaks off leaves no part of an event
+ * behind. Resolves true when the upstream's answer ended whole.
+ */
+export async function relayEvents(
+  reply: UpstreamReply,
+  outgoing: ServerResponse,
+  progress: StreamProgress,
+): Promise<boolean> {
+  const splitter = createEventSplitter();
+  let isActive = true;
+  const onDrain = (): void => reply.resume();
+  outgoing.on('drain', onDrain);
+  const whole = await reply.read((chunk) => {
+    const block = splitter.push(chunk);
+    if (block === undefined || !isActive || outgoing.destroyed) return;
+    progress.lastId = block.lastId ?? progress.lastId;
+    progress.hasEvents = true;
+    progress.lastEventAt = monotonicMs();
+    if (!outgoing.write(block.bytes)) reply.pause();
+  });
+  isActive = false;
+  outgoing.off('drain', onDrain);
+  return whole && !splitter.hasRest();
+}
--- /dev/null
+++ b/packages/serving/src/reserve-engine.ts
@@ -0,0 +1,63 @@
+/** Asks decode engines for memory and a slot, the least loaded ones first. */
+import type { UpstreamId } from '@hibiscusbank/core';
+import { createChoiceContext } from './context.js';
+import type { AdmittedServing, EngineReservation, ServingContext } from './context.js';
+import { rankDecode } from './placement.js';
+import { startTimeLimit } from './time-limit.js';
+import type { EngineTraits, ModelUsage } from './types.js';
+
+/** Engines that are asked before the request waits; each refusal costs a round trip. */
+const MAX_ENGINES_ASKED = 3;
+/** A reservation is answered from memory; an engine that takes longer is not in order. */
+const RESERVE_TIMEOUT_MS = 250;
+/** Estimates of the answer are right at the median; this much more covers most answers. */
+const EXPECTATION_MARGIN = 1.2;
+
+/** Tokens to reserve: the prompt and the answer as far as it is likely. */
+export function reservationTokens(usage: ModelUsage): number {
+  const { promptTokens, maxOutputTokens, expectedOutputTokens } = usage;
+  if (expectedOutputTokens === undefined) return promptTokens + maxOutputTokens;
+  return (
+    promptTokens + Math.min(maxOutputTokens, Math.ceil(expectedOutputTokens * EXPECTATION_MARGIN))
+  );
+}
+
+/** Resolves to a reservation, or `undefined` when no engine that was asked has room. */
+export async function reserveEngine(
+  context: ServingContext,
+  admitted: AdmittedServing,
+  engine: EngineTraits,
+  tokens: number,
+  excluded: ReadonlySet<UpstreamId>,
+): Promise<EngineReservation | undefined> {
+  const { directory, transport, loads, health, telemetry } = context;
+  const { pool, req, signal } = admitted;
+  const choice = createChoiceContext(context, pool, loads, excluded);
+  const ranked = rankDecode(directory.usable(pool.id), choice, {
+    tokens,
+    memoryTokens: engine.memoryTokens,
+    slots: engine.slots,
+  });
+  for (const upstream of ranked.slice(0, MAX_ENGINES_ASKED)) {
+    if (signal.aborted) return undefined;
+    const release = loads.begin(upstream.id, tokens);
+    const limit = startTimeLimit(signal, RESERVE_TIMEOUT_MS);
+    const result = await transport.reserve(upstream, tokens, engine.reservationMs, limit.signal);
+    const expired = limit.isExpired();
+    limit.stop();
+    if (result.isOk()) return { upstream, id: result.value, tokens, release };
+    release();
+    const { reason } = result.error;
+    if (expired || reason === 'unreachable' || reason === 'broken') {
+      health.recordFailure(upstream.id);
+    }
+    telemetry.log('reservationRefused', {
+      request: req.id,
+      upstream: upstream.id,
+      tokens,
+      reason: expired ? 'timeout' : reason,
+      knownTokens: loads.tokens(upstream.id),
+    });
+  }
+  return undefined;
+}
--- /dev/null
+++ b/packages/serving/src/serve-plain.ts
@@ -0,0 +1,125 @@
+/** Serves requests of plain upstreams. */
+import { monotonicMs } from '@hibiscusbank/core';
+import type { UpstreamId } from '@hibiscusbank/core';
+import { err, ok } from 'neverthrow';
+import type { Result } from 'neverthrow';
+import { sendRefusal, sendWhole } from './answers.js';
+import { createChoiceContext, organisationOf, remainingMs } from './context.js';
+import type { AdmittedServing, ServingContext } from './context.js';
+import type { KnownUpstream } from './directory.js';
+import { describeFailure, describeTimeout } from './failures.js';
+import type { ServingFailure } from './failures.js';
+import { readWhole } from './http-exchange.js';
+import { rankPlain } from './placement.js';
+import { startTimeLimit } from './time-limit.js';
+import type { SendFailure, UpstreamReply } from './types.js';
+
+/** Sends that an upstream rejects before the request is refused. */
+const MAX_SENDS = 4;
+/**
+ * Part of the route's target after which an idempotent request is tried on another upstream. The
+ * work itself takes a small part of the target, so an upstream that needs more is not in order.
+ */
+const RETRY_AFTER_TARGET = 0.6;
+/** Time after which a caller that was refused finds an upstream's queue worked off. */
+const PLAIN_RETRY_AFTER_MS = 100;
+
+interface PlainAnswer {
+  readonly reply: UpstreamReply;
+  readonly body: Buffer;
+}
+
+const isUpstreamError = ({ reply }: PlainAnswer): boolean => reply.status >= 500;
+
+async function sendOnce(
+  context: ServingContext,
+  admitted: AdmittedServing,
+  upstream: KnownUpstream,
+  limitMs: number,
+): Promise<Result<PlainAnswer, SendFailure>> {
+  const { transport, loads, cold, health } = context;
+  const release = loads.begin(upstream.id, 0);
+  const limit = startTimeLimit(admitted.signal, limitMs);
+  cold.record(upstream.id);
+  const sent = await transport.send({
+    upstream,
+    req: admitted.req,
+    body: admitted.body,
+    organisation: organisationOf(admitted),
+    remainingMs: remainingMs(admitted),
+    signal: limit.signal,
+  });
+  const body = sent.isOk() ? await readWhole(sent.value) : undefined;
+  limit.stop();
+  release();
+  if (sent.isErr()) {
+    const isOwnEnd = sent.error.reason === 'aborted' && !limit.isExpired();
+    if (!isOwnEnd && sent.error.reason !== 'moved') health.recordFailure(upstream.id);
+    return err(sent.error);
+  }
+  if (body === undefined) {
+    if (!admitted.signal.aborted) health.recordFailure(upstream.id);
+    return err({ effect: 'unknown', wasSent: true, reason: 'broken' });
+  }
+  const answer = { reply: sent.value, body };
+  if (isUpstreamError(answer)) health.recordFailure(upstream.id);
+  else health.recordSuccess(upstream.id);
+  return ok(answer);
+}
+
+/** Serves one admitted request to its end. Resolves to what failed, if anything. */
+export async function servePlain(
+  context: ServingContext,
+  admitted: AdmittedServing,
+): Promise<ServingFailure | undefined> {
+  const { directory, budget, loads, telemetry } = context;
+  const { pool, route, outgoing, req, signal } = admitted;
+  const excluded = new Set<UpstreamId>();
+  const mayRepeat = route.kind === 'idempotent';
+  let runs = 0;
+  let effect: 'not_run' | 'unknown' = 'not_run';
+  let lastAnswer: PlainAnswer | undefined;
+  let lastFailure: SendFailure = { effect: 'not_run', wasSent: false, reason: 'unreachable' };
+
+  for (let sends = 0; sends < MAX_SENDS && !signal.aborted; sends += 1) {
+    const choice = createChoiceContext(context, pool, loads, excluded);
+    const [upstream] = rankPlain(directory.usable(pool.id), choice);
+    if (upstream === undefined) break;
+    if (sends > 0 && lastFailure.wasSent && !budget.take(pool.id)) break;
+    const mayTryAnother = mayRepeat && runs + 1 < route.maxAttempts;
+    const limitMs = mayTryAnother ? route.targetMs * RETRY_AFTER_TARGET : remainingMs(admitted);
+    const startedAt = monotonicMs();
+    const result = await sendOnce(context, admitted, upstream, limitMs);
+    telemetry.log('upstreamAnswered', {
+      request: req.id,
+      upstream: upstream.id,
+      status: result.isOk() ? result.value.reply.status : undefined,
+      failure: result.isErr() ? result.error.reason : undefined,
+      ms: Math.round(monotonicMs() - startedAt),
+    });
+    excluded.add(upstream.id);
+    if (result.isOk()) {
+      lastAnswer = result.value;
+      lastFailure = { effect: 'unknown', wasSent: true, reason: 'broken' };
+      runs += 1;
+      if (!isUpstreamError(lastAnswer) || !mayRepeat || runs >= route.maxAttempts) break;
+      effect = 'unknown';
+      continue;
+    }
+    lastFailure = result.error;
+    if (lastFailure.effect === 'not_run') continue;
+    effect = 'unknown';
+    runs += 1;
+    if (!mayRepeat || runs >= route.maxAttempts) break;
+  }
+
+  if (lastAnswer !== undefined) {
+    sendWhole(outgoing, lastAnswer.reply, lastAnswer.body);
+    return undefined;
+  }
+  const failure = signal.aborted
+    ? describeTimeout(effect)
+    : describeFailure({ ...lastFailure, effect }, PLAIN_RETRY_AFTER_MS);
+  sendRefusal(outgoing, failure.error, failure.effect);
+  return failure;
+}
--- /dev/null
+++ b/packages/serving/src/serve-stream.ts
@@ -0,0 +1,247 @@
+/** Serves streams of model engines: reservation, prefill, decode, relay. */
+import { createError, monotonicMs } from '@hibiscusbank/core';
+import type { UpstreamId } from '@hibiscusbank/core';
+import type { Result } from 'neverthrow';
+import { beginAnswer, sendRefusal, sendWhole } from './answers.js';
+import { organisationOf, remainingMs } from './context.js';
+import type { AdmittedServing, EngineReservation, ServingContext } from './context.js';
+import { describeFailure, describeTimeout } from './failures.js';
+import type { ServingFailure } from './failures.js';
+import { readWhole } from './http-exchange.js';
+import { prefillPrompt } from './prefill-prompt.js';
+import { relayEvents } from './relay-events.js';
+import type { StreamProgress } from './relay-events.js';
+import { reservationTokens, reserveEngine } from './reserve-engine.js';
+import { startTimeLimit } from './time-limit.js';
+import type { EngineTraits, KvHandle, SendFailure, UpstreamReply } from './types.js';
+import { planWait } from './wait-plan.js';
+
+/** Runs and rejected sends of one request. */
+const MAX_SENDS = 4;
+/** A resumable stream without an event for this long continues on another engine. */
+const STALL_LIMIT_MS = 1_200;
+/** Pause between two checks for a stall. */
+const STALL_CHECK_MS = 200;
+/** Time after which a refused caller comes back: about the rest of a short burst. */
+const RETRY_AFTER_MS = 2_000;
+
+interface StreamState {
+  readonly admitted: AdmittedServing;
+  readonly engine: EngineTraits;
+  readonly progress: StreamProgress;
+  readonly failedPrefill: Set<UpstreamId>;
+  readonly failedDecode: Set<UpstreamId>;
+  runs: number;
+  effect: 'not_run' | 'unknown';
+}
+
+/** How one run ended. */
+type RunEnd =
+  | { readonly kind: 'answered' }
+  | { readonly kind: 'failed'; readonly failure: SendFailure }
+  /** The engine was out of service before the request was sent to it. */
+  | { readonly kind: 'not_sent' };
+
+function waitForReservation(
+  context: ServingContext,
+  state: StreamState,
+): Promise<Result<EngineReservation, ReturnType<typeof createError>>> {
+  const { admitted, engine, failedDecode } = state;
+  const { req, pool, organisation, signal } = admitted;
+  const usage = req.usage ?? { promptTokens: 0, maxOutputTokens: 0, expectedOutputTokens: 0 };
+  const tokens = reservationTokens(usage);
+  const plan = planWait({
+    targetMs: admitted.route.targetMs,
+    elapsedMs: monotonicMs() - admitted.startedAt,
+    remainingMs: remainingMs(admitted),
+    patienceMs: admitted.req.patienceMs ?? admitted.route.timeLimitMs,
+    timeLimitMs: admitted.route.timeLimitMs,
+    hasEvents: state.progress.hasEvents,
+  });
+  return context.queue(pool.id).wait({
+    organisation: organisation?.id ?? '',
+    cost: tokens,
+    lateMs: plan.lateMs,
+    patienceMs: plan.patienceMs,
+    signal,
+    reserve: () => reserveEngine(context, admitted, engine, tokens, failedDecode),
+    drop: (reservation) => {
+      reservation.release();
+      context.transport.dropReservation(reservation.upstream, reservation.id);
+    },
+  });
+}
+
+/** Aborts a resumable run that makes no progress. */
+function watchStall(state: StreamState, abort: () => void): () => void {
+  const { progress, admitted } = state;
+  if (!admitted.route.isResumable) return () => {};
+  progress.lastEventAt = monotonicMs();
+  const timer = setInterval(() => {
+    if (monotonicMs() - progress.lastEventAt > STALL_LIMIT_MS) abort();
+  }, STALL_CHECK_MS);
+  return () => clearInterval(timer);
+}
+
+async function relay(state: StreamState, reply: UpstreamReply): Promise<RunEnd> {
+  const { admitted, progress } = state;
+  const { outgoing } = admitted;
+  const broken: RunEnd = {
+    kind: 'failed',
+    failure: { effect: 'unknown', wasSent: true, reason: 'broken' },
+  };
+  if (reply.status >= 300) {
+    const body = await readWhole(reply);
+    if (body === undefined) return broken;
+    // An error in the middle of a stream has no place in it.
+    if (progress.hasEvents) return broken;
+    sendWhole(outgoing, reply, body);
+    return { kind: 'answered' };
+  }
+  beginAnswer(outgoing, reply);
+  const whole = await relayEvents(reply, outgoing, progress);
+  if (!whole) return broken;
+  outgoing.end();
+  return { kind: 'answered' };
+}
+
+async function decode(
+  context: ServingContext,
+  state: StreamState,
+  reservation: EngineReservation,
+  handle: KvHandle | undefined,
+): Promise<RunEnd> {
+  const { transport, health, cold } = context;
+  const { admitted, progress } = state;
+  const { req, route } = admitted;
+  const lastEventId = progress.lastId ?? req.lastEventId;
+  const limit = startTimeLimit(admitted.signal, remainingMs(admitted));
+  const stall = new AbortController();
+  const abortStalled = (): void => stall.abort();
+  limit.signal.addEventListener('abort', abortStalled, { once: true });
+  const stopWatch = watchStall(state, abortStalled);
+  cold.record(reservation.upstream.id);
+  const sent = await transport.send({
+    upstream: reservation.upstream,
+    req,
+    body: admitted.body,
+    organisation: organisationOf(admitted),
+    remainingMs: remainingMs(admitted),
+    reservation: reservation.id,
+    priority: admitted.organisation?.rank ?? route.rank,
+    signal: stall.signal,
+    ...(handle === undefined ? {} : { kvSource: handle }),
+    ...(lastEventId === undefined ? {} : { lastEventId }),
+  });
+  const end: RunEnd = sent.isErr()
+    ? { kind: 'failed', failure: sent.error }
+    : await relay(state, sent.value);
+  stopWatch();
+  limit.stop();
+  if (end.kind === 'answered') health.recordSuccess(reservation.upstream.id);
+  else if (end.kind === 'failed' && end.failure.effect === 'unknown' && !admitted.signal.aborted) {
+    health.recordFailure(reservation.upstream.id);
+  }
+  return end;
+}
+
+async function runOnce(
+  context: ServingContext,
+  state: StreamState,
+  reservation: EngineReservation,
+): Promise<RunEnd> {
+  const { transport, directory } = context;
+  const { admitted, progress } = state;
+  const isContinued = progress.hasEvents || admitted.req.lastEventId !== undefined;
+  const handle = isContinued
+    ? undefined
+    : await prefillPrompt(context, admitted, reservation, state.failedPrefill);
+  const drop = (): void => {
+    transport.dropReservation(reservation.upstream, reservation.id);
+    if (handle !== undefined) transport.dropHandle(handle);
+  };
+  if (admitted.signal.aborted || !directory.isUsable(reservation.upstream)) {
+    drop();
+    return { kind: 'not_sent' };
+  }
+  const end = await decode(context, state, reservation, handle);
+  if (end.kind === 'failed' && !end.failure.wasSent) drop();
+  else if (end.kind === 'failed' && end.failure.effect === 'not_run') {
+    // The engine may have refused because the result of this prefill could not be fetched.
+    if (handle !== undefined) {
+      state.failedPrefill.add(handle.upstream.id);
+      context.health.recordFailure(handle.upstream.id);
+    }
+    drop();
+  }
+  return end;
+}
+
+/** Whether the request may be sent once more after a run that ended like this. */
+function mayRepeat(context: ServingContext, state: StreamState, failure: SendFailure): boolean {
+  const { route, pool } = state.admitted;
+  if (failure.effect === 'unknown' && !route.isResumable) return false;
+  // What the caller has cannot be continued without the id of its last event.
+  if (state.progress.hasEvents && state.progress.lastId === undefined) return false;
+  if (state.runs >= route.maxAttempts) return false;
+  return !failure.wasSent || context.budget.take(pool.id);
+}
+
+function finishFailed(state: StreamState, failure: ServingFailure): ServingFailure {
+  sendRefusal(state.admitted.outgoing, failure.error, failure.effect);
+  return failure;
+}
+
+/** Serves one admitted stream to its end. Resolves to what failed, if anything. */
+export async function serveStream(
+  context: ServingContext,
+  admitted: AdmittedServing,
+  engine: EngineTraits,
+): Promise<ServingFailure | undefined> {
+  const { signal, req } = admitted;
+  const state: StreamState = {
+    admitted,
+    engine,
+    progress: { lastId: undefined, hasEvents: false, lastEventAt: 0 },
+    failedPrefill: new Set(),
+    failedDecode: new Set(),
+    runs: 0,
+    effect: 'not_run',
+  };
+  let lastFailure: SendFailure = { effect: 'not_run', wasSent: false, reason: 'unreachable' };
+  for (let sends = 0; sends < MAX_SENDS && !signal.aborted; sends += 1) {
+    const reserved = await waitForReservation(context, state);
+    if (reserved.isErr()) {
+      if (signal.aborted) break;
+      return finishFailed(state, {
+        error: state.effect === 'not_run' ? reserved.error : describeTimeout('unknown').error,
+        effect: state.effect,
+      });
+    }
+    const reservation = reserved.value;
+    const end = await runOnce(context, state, reservation);
+    reservation.release();
+    context.queue(admitted.pool.id).notifyFree();
+    if (end.kind === 'answered') return undefined;
+    if (end.kind === 'not_sent') continue;
+    lastFailure = end.failure;
+    context.telemetry.log('runFailed', {
+      request: req.id,
+      upstream: reservation.upstream.id,
+      reason: lastFailure.reason,
+      effect: lastFailure.effect,
+      lastEvent: state.progress.lastId,
+    });
+    if (lastFailure.effect === 'unknown') {
+      state.runs += 1;
+      state.effect = 'unknown';
+      state.failedDecode.add(reservation.upstream.id);
+    }
+    if (signal.aborted || !mayRepeat(context, state, lastFailure)) break;
+  }
+  if (signal.aborted) return finishFailed(state, describeTimeout(state.effect));
+  return finishFailed(
+    state,
+    describeFailure({ ...lastFailure, effect: state.effect }, RETRY_AFTER_MS),
+  );
+}
--- /dev/null
+++ b/packages/serving/src/serving-gateway.ts
@@ -0,0 +1,235 @@
+/** Admits callers' requests and hands them to the serving path of their route. */
+import { createError, monotonicMs } from '@hibiscusbank/core';
+import type { PoolId, RouterError } from '@hibiscusbank/core';
+import { readBody } from '@hibiscusbank/gateway';
+import { err, ok } from 'neverthrow';
+import type { Result } from 'neverthrow';
+import { sendRefusal } from './answers.js';
+import type { AdmittedServing, HttpExchange, ServingContext } from './context.js';
+import { servePlain } from './serve-plain.js';
+import { serveStream } from './serve-stream.js';
+import type { ServingOrganisation, ServingPool, ServingRequest, ServingRoute } from './types.js';
+import type { ServingFailure } from './failures.js';
+
+/** Body size that is allowed before the first configuration names one. */
+const DEFAULT_MAX_BODY_BYTES = 1_048_576;
+/** Time after which a node that starts has its configuration. */
+const NOT_READY_RETRY_MS = 300;
+
+export interface ServingGatewayOptions {
+  readonly context: ServingContext;
+  /** Decodes a request's head. Errors: `invalid_request`. */
+  readonly readRequest: (exchange: HttpExchange) => Result<ServingRequest, RouterError>;
+}
+
+export interface ServingGateway {
+  /** Serves one request to the end of its answer. Never rejects. */
+  serve(exchange: HttpExchange): Promise<void>;
+  activeRequests(): number;
+  /** Answers with `Connection: close` from now on. */
+  beginDrain(): void;
+}
+
+interface Permission {
+  readonly route: ServingRoute;
+  readonly pool: ServingPool;
+  readonly organisation: ServingOrganisation | undefined;
+}
+
+function chooseTarget(route: ServingRoute, random: number): PoolId | undefined {
+  const total = route.targets.reduce((sum, { weight }) => sum + weight, 0);
+  let rest = random * total;
+  for (const { pool, weight } of route.targets) {
+    rest -= weight;
+    if (rest < 0) return pool;
+  }
+  return route.targets.at(-1)?.pool;
+}
+
+/** Tokens or requests that a request is charged. */
+export function chargeOf(organisation: ServingOrganisation, req: ServingRequest): number {
+  if (!organisation.countsTokens) return 1;
+  if (req.usage === undefined) return organisation.plainTokens;
+  return req.usage.promptTokens + req.usage.maxOutputTokens;
+}
+
+/** Creates the gateway of a node. */
+export function createServingGateway({
+  context,
+  readRequest,
+}: ServingGatewayOptions): ServingGateway {
+  const { directory, quota, budget, telemetry } = context;
+  let active = 0;
+  let draining = false;
+
+  const permit = (req: ServingRequest): Result<Permission, RouterError> => {
+    const notRun = { effect: 'not_run' } as const;
+    const route = directory.findRoute(req.host, req.path);
+    if (route === undefined) {
+      return err(createError('no_route', `no route for ${req.host}${req.path}`, notRun));
+    }
+    const organisation = req.key === undefined ? undefined : directory.findOrganisation(req.key);
+    if (!route.isOpen && organisation === undefined) {
+      return err(createError('unauthorised', 'the key is not known; ask for a new one', notRun));
+    }
+    const target = chooseTarget(route, context.random());
+    const pool = target === undefined ? undefined : directory.findPool(target);
+    if (pool === undefined) {
+      return err(createError('no_capacity', 'the route has no pool; correct the tables', notRun));
+    }
+    return ok({ route, pool, organisation });
+  };
+
+  const debit = (permission: Permission, req: ServingRequest): Result<number, RouterError> => {
+    const { organisation } = permission;
+    if (organisation === undefined) return ok(0);
+    const tokens = chargeOf(organisation, req);
+    const decision = quota.debit(organisation, tokens);
+    if (decision.isGranted) return ok(tokens);
+    return err(
+      createError('rate_exceeded', 'the rate is used up; retry later', {
+        effect: 'not_run',
+        retryAfterMs: decision.retryAfterMs,
+      }),
+    );
+  };
+
+  const run = async (admitted: AdmittedServing): Promise<ServingFailure | undefined> => {
+    const { engine } = admitted.pool;
+    budget.recordRequest(admitted.pool.id);
+    return engine !== undefined && admitted.route.kind === 'stream'
+      ? serveStream(context, admitted, engine)
+      : servePlain(context, admitted);
+  };
+
+  const logEnd = (
+    req: ServingRequest,
+    permission: Permission,
+    startedAt: number,
+    status: number,
+    failure: ServingFailure | undefined,
+  ): void => {
+    const ms = Math.round(monotonicMs() - startedAt);
+    telemetry.metrics.requests.inc({ route: permission.route.id, outcome: String(status) });
+    telemetry.log('requestFinished', {
+      request: req.id,
+      route: permission.route.id,
+      organisation: permission.organisation?.id,
+      status,
+      ms,
+      version: directory.tables()?.version,
+      kind: failure?.error.kind,
+      effect: failure?.effect,
+    });
+  };
+
+  const serveAdmitted = async (
+    exchange: HttpExchange,
+    req: ServingRequest,
+    permission: Permission,
+    body: Buffer,
+    startedAt: number,
+  ): Promise<void> => {
+    const { outgoing } = exchange;
+    const charged = debit(permission, req);
+    if (charged.isErr()) {
+      telemetry.log('debitRefused', {
+        request: req.id,
+        organisation: permission.organisation?.id,
+        retryAfterMs: Math.round(charged.error.retryAfterMs ?? 0),
+      });
+      sendRefusal(outgoing, charged.error, 'not_run');
+      logEnd(req, permission, startedAt, outgoing.statusCode, {
+        error: charged.error,
+        effect: 'not_run',
+      });
+      return;
+    }
+    const { route } = permission;
+    const limitMs = Math.min(route.timeLimitMs, req.patienceMs ?? route.timeLimitMs);
+    const controller = new AbortController();
+    const abort = (): void => controller.abort();
+    const timer = setTimeout(abort, Math.max(0, startedAt + limitMs - monotonicMs()));
+    const onClose = (): void => {
+      if (!outgoing.writableFinished) abort();
+    };
+    outgoing.on('close', onClose);
+    const failure = await run({
+      ...permission,
+      req,
+      body,
+      startedAt,
+      deadlineAt: startedAt + limitMs,
+      signal: controller.signal,
+      outgoing,
+    });
+    clearTimeout(timer);
+    outgoing.off('close', onClose);
+    const { organisation } = permission;
+    if (failure?.effect === 'not_run' && organisation !== undefined && charged.value > 0) {
+      quota.refund(organisation.id, charged.value);
+    }
+    logEnd(req, permission, startedAt, outgoing.statusCode, failure);
+  };
+
+  const admit = async (exchange: HttpExchange): Promise<void> => {
+    const { incoming, outgoing } = exchange;
+    const startedAt = monotonicMs();
+    const refuse = (error: RouterError, id: string | undefined): void => {
+      telemetry.log('requestRefused', { request: id, kind: error.kind, effect: 'not_run' });
+      sendRefusal(outgoing, error, 'not_run');
+      // The rest of a body that nobody reads would be taken for the next request.
+      if (!incoming.complete) incoming.resume();
+    };
+    if (!directory.isComplete()) {
+      const options = { effect: 'not_run', retryAfterMs: NOT_READY_RETRY_MS } as const;
+      refuse(createError('not_ready', 'the node has no configuration yet', options), undefined);
+      return;
+    }
+    const decoded = readRequest(exchange);
+    if (decoded.isErr()) {
+      refuse(decoded.error, undefined);
+      return;
+    }
+    const req = decoded.value;
+    const early = permit(req);
+    if (early.isErr()) {
+      refuse(early.error, req.id);
+      return;
+    }
+    const limit = directory.tables()?.limits.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES;
+    const body = await readBody(incoming, limit);
+    if (body.isErr()) {
+      if (body.error.kind === 'body_too_large') refuse(body.error, req.id);
+      return;
+    }
+    // The tables can have changed while the body arrived.
+    const permission = permit(req);
+    if (permission.isErr()) refuse(permission.error, req.id);
+    else await serveAdmitted(exchange, req, permission.value, body.value, startedAt);
+  };
+
+  return {
+    activeRequests: () => active,
+    beginDrain: () => {
+      draining = true;
+    },
+    serve: async (exchange) => {
+      const { outgoing } = exchange;
+      if (draining) outgoing.setHeader('connection', 'close');
+      active += 1;
+      try {
+        await admit(exchange);
+      } catch (thrown) {
+        telemetry.log('requestFailed', { error: String(thrown) });
+        sendRefusal(
+          outgoing,
+          createError('internal', 'unexpected error; see the log', { effect: 'unknown' }),
+          'unknown',
+        );
+      } finally {
+        active -= 1;
+      }
+    },
+  };
+}
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -11,7 +11,7 @@
     ],
   },
   test: {
-    include: ['packages/*/test/**/*.test.ts'],
+    include: ['packages/*/test/**/*.test.ts', 'platform/test/**/*.test.ts'],
     env: { ROARR_LOG: 'false' },
     // A hang fails the test; a slow machine does not.
     testTimeout: 180_000,
