Close connections after the drain's last answers; log placements

Ruled out: idle connections, which the server closes when it stops listening. A test with a kept connection failed before and passes now.

--- a/packages/core/src/events.ts
+++ b/packages/core/src/events.ts
@@ -102,6 +102,9 @@
   requestFailed: define(1814, 'error', 'request ended by an unexpected error'),
   logLinesDropped: define(1815, 'warn', 'log lines dropped'),
   freeFailed: define(1817, 'info', 'reservation or KV cache could not be freed; it lapses'),
+  reservationGranted: define(1818, 'info', 'engine reserved memory and a slot'),
+  promptRead: define(1819, 'info', 'prompt read by a prefill engine'),
+  streamStarted: define(1820, 'info', 'first event of a stream relayed'),
   settingsReloaded: define(1816, 'info', 'settings read again'),
 
   invariantViolated: define(1901, 'error', 'invariant violated'),
--- a/packages/serving/src/prefill-prompt.ts
+++ b/packages/serving/src/prefill-prompt.ts
@@ -49,6 +49,12 @@
     release();
     if (result.isOk()) {
       health.recordSuccess(upstream.id);
+      telemetry.log('promptRead', {
+        request: req.id,
+        upstream: upstream.id,
+        promptTokens,
+        ms: Math.round(monotonicMs() - startedAt),
+      });
       return result.value;
     }
     if (signal.aborted) return undefined;
--- a/packages/serving/src/relay-events.ts
+++ b/packages/serving/src/relay-events.ts
@@ -19,6 +19,7 @@
   reply: UpstreamReply,
   outgoing: ServerResponse,
   progress: StreamProgress,
+  onFirstEvent: () => void,
 ): Promise<boolean> {
   const splitter = createEventSplitter();
   let isActive = true;
@@ -28,6 +29,7 @@
     const block = splitter.push(chunk);
     if (block === undefined || !isActive || outgoing.destroyed) return;
     progress.lastId = block.lastId ?? progress.lastId;
+    if (!progress.hasEvents) onFirstEvent();
     progress.hasEvents = true;
     progress.lastEventAt = monotonicMs();
     if (!outgoing.write(block.bytes)) reply.pause();
--- a/packages/serving/src/reserve-engine.ts
+++ b/packages/serving/src/reserve-engine.ts
@@ -1,4 +1,5 @@
 /** Asks decode engines for memory and a slot, the least loaded ones first. */
+import { monotonicMs } from '@hibiscusbank/core';
 import type { UpstreamId } from '@hibiscusbank/core';
 import { createChoiceContext } from './context.js';
 import type { AdmittedServing, EngineReservation, ServingContext } from './context.js';
@@ -45,7 +46,16 @@
     const result = await transport.reserve(upstream, tokens, engine.reservationMs, limit.signal);
     const expired = limit.isExpired();
     limit.stop();
-    if (result.isOk()) return { upstream, id: result.value, tokens, release };
+    if (result.isOk()) {
+      telemetry.log('reservationGranted', {
+        request: req.id,
+        upstream: upstream.id,
+        tokens,
+        knownTokens: loads.tokens(upstream.id),
+        waitedMs: Math.round(monotonicMs() - admitted.startedAt),
+      });
+      return { upstream, id: result.value, tokens, release };
+    }
     release();
     const { reason } = result.error;
     if (expired || reason === 'unreachable' || reason === 'broken') {
--- a/packages/serving/src/serve-stream.ts
+++ b/packages/serving/src/serve-stream.ts
@@ -83,7 +83,11 @@
   return () => clearInterval(timer);
 }
 
-async function relay(state: StreamState, reply: UpstreamReply): Promise<RunEnd> {
+async function relay(
+  context: ServingContext,
+  state: StreamState,
+  reply: UpstreamReply,
+): Promise<RunEnd> {
   const { admitted, progress } = state;
   const { outgoing } = admitted;
   const broken: RunEnd = {
@@ -99,7 +103,11 @@
     return { kind: 'answered' };
   }
   beginAnswer(outgoing, reply);
-  const whole = await relayEvents(reply, outgoing, progress);
+  const whole = await relayEvents(reply, outgoing, progress, () => {
+    const ms = Math.round(monotonicMs() - admitted.startedAt);
+    context.telemetry.metrics.firstTokenSeconds.observe({ pool: admitted.pool.id }, ms / 1_000);
+    context.telemetry.log('streamStarted', { request: admitted.req.id, ms });
+  });
   if (!whole) return broken;
   outgoing.end();
   return { kind: 'answered' };
@@ -135,7 +143,7 @@
   });
   const end: RunEnd = sent.isErr()
     ? { kind: 'failed', failure: sent.error }
-    : await relay(state, sent.value);
+    : await relay(context, state, sent.value);
   stopWatch();
   limit.stop();
   if (end.kind === 'answered') health.recordSuccess(reservation.upstream.id);
--- a/packages/serving/src/serving-gateway.ts
+++ b/packages/serving/src/serving-gateway.ts
@@ -53,6 +53,12 @@
   return req.usage.promptTokens + req.usage.maxOutputTokens;
 }
 
+/** Closes a connection whose answer began before the drain and so did not announce the close. */
+function closeAfterAnswer({ incoming, outgoing }: HttpExchange): void {
+  if (outgoing.writableFinished) incoming.socket.end();
+  else outgoing.once('finish', () => incoming.socket.end());
+}
+
 /** Creates the gateway of a node. */
 export function createServingGateway({
   context,
@@ -215,8 +221,13 @@
       draining = true;
     },
     serve: async (exchange) => {
-      const { outgoing } = exchange;
+      const { incoming, outgoing } = exchange;
       if (draining) outgoing.setHeader('connection', 'close');
+      if (incoming.socket.writableEnded) {
+        // The request crossed the close of its connection and cannot be answered.
+        incoming.socket.destroy();
+        return;
+      }
       active += 1;
       try {
         await admit(exchange);
@@ -229,6 +240,7 @@
         );
       } finally {
         active -= 1;
+        if (draining) closeAfterAnswer(exchange);
       }
     },
   };
--- /dev/null
+++ b/packages/serving/test/drain.test.ts
@@ -0,0 +1,81 @@
+import { Agent, request } from 'node:http';
+import type { IncomingMessage } from 'node:http';
+import { ok } from 'neverthrow';
+import { expect, test } from 'vitest';
+import {
+  createFakeTransport,
+  createReply,
+  createTestStores,
+  createUpstream,
+  enginePool,
+  plainPool,
+  startTestNode,
+  waitUntil,
+  waitUntilReady,
+} from './support/test-node.js';
+
+function get(agent: Agent, port: number, path: string): Promise<IncomingMessage> {
+  return new Promise((resolve, reject) => {
+    const req = request(
+      { agent, port, host: '127.0.0.1', path, headers: { authorization: 'Bearer key-1' } },
+      resolve,
+    );
+    req.on('error', reject);
+    req.end();
+  });
+}
+
+async function readAll(res: IncomingMessage): Promise<string> {
+  let text = '';
+  for await (const chunk of res) text += String(chunk);
+  return text;
+}
+
+// A connection that outlives the drain lets a caller send a request that the process cannot finish.
+test('a connection whose stream began before the drain is closed after the stream', async () => {
+  const transport = createFakeTransport();
+  const stores = createTestStores();
+  stores.upstreams.put('d1', createUpstream('d1', { pool: enginePool, role: 'decode' }));
+  stores.upstreams.put('p1', createUpstream('p1', { pool: enginePool, role: 'prefill' }));
+  let endStream = (): void => {};
+  transport.reply = async () =>
+    ok({
+      ...createReply([]),
+      read: (onData) => {
+        onData(Buffer.from('id: 1\ndata: a\n\n'));
+        return new Promise((resolve) => {
+          endStream = () => resolve(true);
+        });
+      },
+    });
+  const started = await startTestNode(stores, transport);
+  await waitUntilReady(started);
+  const agent = new Agent({ keepAlive: true, maxSockets: 1 });
+  const res = await get(agent, started.port, '/note/1');
+  const { socket } = res;
+  const text = readAll(res);
+  const drained = started.node.drain();
+  endStream();
+  expect(await text).toBe('id: 1\ndata: a\n\n');
+  await waitUntil(() => socket.destroyed);
+  // The node still listens, so it was the end of the stream that closed the connection.
+  expect((await get(new Agent(), started.port, '/unknown')).statusCode).toBe(404);
+  agent.destroy();
+  await drained;
+});
+
+test('a node that drains is not ready, and answers what reaches it with a close', async () => {
+  const transport = createFakeTransport();
+  const stores = createTestStores();
+  stores.upstreams.put('u1', createUpstream('u1', { pool: plainPool }));
+  const started = await startTestNode(stores, transport);
+  await waitUntilReady(started);
+  const drained = started.node.drain();
+  expect((await fetch(started.readyUrl)).status).toBe(503);
+  const agent = new Agent({ keepAlive: true });
+  const res = await get(agent, started.port, '/lookup/1');
+  expect(res.headers.connection).toBe('close');
+  expect(await readAll(res)).toBe('done');
+  await drained;
+  agent.destroy();
+});
--- /dev/null
+++ b/packages/serving/test/support/fake-store.ts
@@ -0,0 +1,92 @@
+import { err, ok } from 'neverthrow';
+import type { EntryChange, EntryStore, StoredEntry } from '../../src/index.js';
+
+export interface FakeStore extends EntryStore {
+  put(name: string, value: unknown): void;
+  drop(name: string): void;
+  /** While set, calls are not answered as they should be. */
+  setDown(isDown: boolean): void;
+  /** Forgets what watches could continue from. */
+  compact(): void;
+}
+
+/** One kind of entries in memory. */
+export function createFakeStore(): FakeStore {
+  const entries = new Map<string, StoredEntry>();
+  let log: EntryChange[] = [];
+  let revision = 1;
+  let oldest = 0;
+  let down = false;
+  let wake: (() => void)[] = [];
+
+  const record = (change: EntryChange): void => {
+    log.push(change);
+    const waiting = wake;
+    wake = [];
+    for (const resume of waiting) resume();
+  };
+
+  const put = (name: string, value: unknown): StoredEntry => {
+    revision += 1;
+    const entry = { name, revision, value };
+    entries.set(name, entry);
+    record({ ...entry, isRemoved: false });
+    return entry;
+  };
+
+  const changesAfter = (after: number): EntryChange[] =>
+    log.filter((change) => change.revision > after);
+
+  return {
+    put,
+    drop: (name) => {
+      entries.delete(name);
+      revision += 1;
+      record({ name, revision, value: null, isRemoved: true });
+    },
+    setDown: (isDown) => {
+      down = isDown;
+      for (const resume of wake) resume();
+      wake = [];
+    },
+    compact: () => {
+      log = [];
+      oldest = revision;
+      for (const resume of wake) resume();
+      wake = [];
+    },
+    list: async () =>
+      down ? err('unavailable' as const) : ok({ entries: [...entries.values()], revision }),
+    watch: async (after, waitMs) => {
+      if (down) return err('unavailable');
+      if (after < oldest) return err('history_lost');
+      if (changesAfter(after).length === 0) {
+        await new Promise<void>((resolve) => {
+          const timer = setTimeout(resolve, waitMs);
+          wake.push(() => {
+            clearTimeout(timer);
+            resolve();
+          });
+        });
+      }
+      if (down) return err('unavailable');
+      if (after < oldest) return err('history_lost');
+      return ok({ changes: changesAfter(after), revision });
+    },
+    read: async (name) => {
+      const entry = entries.get(name);
+      if (down) return err('unavailable');
+      return entry === undefined ? err('absent') : ok(entry);
+    },
+    write: async (name, value, expected) => {
+      if (down) return err('unavailable');
+      if (entries.get(name)?.revision !== expected) return err('conflict');
+      return ok(put(name, value));
+    },
+    remove: async (name) => {
+      if (down) return err('unavailable');
+      entries.delete(name);
+      return ok(undefined);
+    },
+  };
+}
--- /dev/null
+++ b/packages/serving/test/support/test-node.ts
@@ -0,0 +1,294 @@
+import { createServer } from 'node:net';
+import type { AddressInfo } from 'node:net';
+import {
+  createTelemetry,
+  dataCentreId,
+  organisationId,
+  poolId,
+  routeId,
+  upstreamId,
+} from '@hibiscusbank/core';
+import { err, ok } from 'neverthrow';
+import { createServingNode } from '../../src/index.js';
+import type {
+  HttpExchange,
+  ServingNode,
+  ServingRoute,
+  ServingTables,
+  ServingUpstream,
+  UpstreamReply,
+  UpstreamSend,
+  UpstreamTransport,
+} from '../../src/index.js';
+import { createFakeStore } from './fake-store.js';
+import type { FakeStore } from './fake-store.js';
+
+export const plainPool = poolId('desk');
+export const enginePool = poolId('scribe');
+
+export function createRoute(change: Partial<ServingRoute> = {}): ServingRoute {
+  return {
+    id: routeId('lookup'),
+    host: 'site.example',
+    pathPrefix: '/lookup/',
+    targets: [{ pool: plainPool, weight: 1 }],
+    kind: 'idempotent',
+    timeLimitMs: 600,
+    targetMs: 100,
+    rank: 1,
+    maxAttempts: 2,
+    isOpen: false,
+    isResumable: false,
+    ...change,
+  };
+}
+
+export function createTables(change: Partial<ServingTables> = {}): ServingTables {
+  return {
+    version: 1,
+    routes: [
+      createRoute(),
+      createRoute({ id: routeId('book'), pathPrefix: '/book/', kind: 'non_idempotent' }),
+      createRoute({
+        id: routeId('note'),
+        pathPrefix: '/note/',
+        kind: 'stream',
+        targets: [{ pool: enginePool, weight: 1 }],
+        timeLimitMs: 14_000,
+        targetMs: 900,
+        maxAttempts: 1,
+      }),
+      createRoute({
+        id: routeId('resumable'),
+        pathPrefix: '/resumable/',
+        kind: 'stream',
+        targets: [{ pool: enginePool, weight: 1 }],
+        timeLimitMs: 14_000,
+        targetMs: 900,
+        maxAttempts: 2,
+        isResumable: true,
+      }),
+    ],
+    pools: [
+      { id: plainPool, maxConnections: 96, coldRequestsPerSecond: 0, engine: undefined },
+      {
+        id: enginePool,
+        maxConnections: 96,
+        coldRequestsPerSecond: 0,
+        engine: {
+          slots: 64,
+          memoryTokens: 60_000,
+          reservationMs: 2_000,
+          handleMs: 500,
+          tokensPerEvent: 11,
+        },
+      },
+    ],
+    organisations: [
+      {
+        id: organisationId('workshop'),
+        keys: ['key-1'],
+        rank: undefined,
+        ratePerSecond: 0,
+        burst: 0,
+        countsTokens: true,
+        plainTokens: 200,
+      },
+    ],
+    limits: {
+      maxHeaderBytes: 16_384,
+      maxBodyBytes: 1_000_000,
+      headerTimeoutMs: 3_000,
+      idleTimeoutMs: 15_000,
+    },
+    ...change,
+  };
+}
+
+export function createUpstream(
+  name: string,
+  change: Partial<ServingUpstream> = {},
+): ServingUpstream {
+  return {
+    id: upstreamId(name),
+    pool: plainPool,
+    address: '127.0.0.1:1',
+    dataCentre: dataCentreId('a'),
+    isReady: true,
+    role: undefined,
+    startedAt: 1,
+    coldMs: 0,
+    ...change,
+  };
+}
+
+/** An answer that is delivered at once, or as the returned functions say. */
+export function createReply(chunks: readonly string[], whole = true, status = 200): UpstreamReply {
+  return {
+    status,
+    headers: { 'content-type': 'text/event-stream' },
+    read: async (onData) => {
+      for (const chunk of chunks) onData(Buffer.from(chunk));
+      return whole;
+    },
+    pause: () => {},
+    resume: () => {},
+    abort: () => {},
+  };
+}
+
+export interface FakeTransport extends UpstreamTransport {
+  readonly sends: UpstreamSend[];
+  readonly prefills: UpstreamSend[];
+  readonly dropped: string[];
+  reply: (send: UpstreamSend) => ReturnType<UpstreamTransport['send']>;
+  reserveReply: UpstreamTransport['reserve'];
+  prefillReply: UpstreamTransport['prefill'];
+}
+
+/** A transport whose answers a test sets. */
+export function createFakeTransport(): FakeTransport {
+  const transport: FakeTransport = {
+    sends: [],
+    prefills: [],
+    dropped: [],
+    reply: async () => ok(createReply(['done'])),
+    reserveReply: async () => ok('reservation'),
+    prefillReply: async (send) => ok({ upstream: send.upstream, handle: 'handle' }),
+    send: (send) => {
+      transport.sends.push(send);
+      return transport.reply(send);
+    },
+    prefill: (send) => {
+      transport.prefills.push(send);
+      return transport.prefillReply(send);
+    },
+    reserve: (...args) => transport.reserveReply(...args),
+    dropReservation: (_, reservation) => transport.dropped.push(reservation),
+    dropHandle: ({ handle }) => transport.dropped.push(handle),
+    retain: () => {},
+  };
+  return transport;
+}
+
+async function findFreePort(): Promise<number> {
+  const server = createServer();
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const { port } = server.address() as AddressInfo;
+  await new Promise((resolve) => {
+    server.close(resolve);
+  });
+  return port;
+}
+
+export interface TestStores {
+  readonly tables: FakeStore;
+  readonly upstreams: FakeStore;
+  readonly outOfService: FakeStore;
+  readonly nodes: FakeStore;
+}
+
+export function createTestStores(tables = createTables()): TestStores {
+  const stores = {
+    tables: createFakeStore(),
+    upstreams: createFakeStore(),
+    outOfService: createFakeStore(),
+    nodes: createFakeStore(),
+  };
+  stores.tables.put('main', tables);
+  return stores;
+}
+
+export interface TestNode {
+  readonly node: ServingNode;
+  readonly url: string;
+  readonly port: number;
+  readonly readyUrl: string;
+  readonly events: string[];
+  readonly peer: { readonly node: string; readonly host: string; readonly port: number };
+}
+
+let requests = 0;
+
+/** Starts a node on loopback that reads its tables from `stores`. */
+export async function startTestNode(
+  stores: TestStores,
+  transport: UpstreamTransport,
+  name = 'node-1',
+  seeds: readonly TestNode['peer'][] = [],
+): Promise<TestNode> {
+  const host = '127.0.0.1';
+  const [callers, readiness, peers] = await Promise.all([
+    findFreePort(),
+    findFreePort(),
+    findFreePort(),
+  ]);
+  const events: string[] = [];
+  const node = createServingNode({
+    name,
+    dataCentre: 'a',
+    callers: { host, port: callers },
+    readiness: { host, port: readiness, path: '/ready' },
+    peers: { host, port: peers },
+    seeds,
+    stores,
+    decoders: {
+      tables: (value) => value as ServingTables,
+      upstream: (_, value) => (value === null ? undefined : (value as ServingUpstream)),
+    },
+    transport,
+    readRequest: ({ incoming }: HttpExchange) => {
+      requests += 1;
+      const { headers } = incoming;
+      if (headers.host === undefined) return err(new Error('no host') as never);
+      const usage = /^(\d+),(\d+)$/.exec(String(headers['x-usage'] ?? ''));
+      return ok({
+        id: `request-${requests}`,
+        method: incoming.method ?? 'GET',
+        path: incoming.url ?? '/',
+        host: 'site.example',
+        headers: {},
+        key: headers.authorization?.replace('Bearer ', ''),
+        patienceMs: undefined,
+        usage:
+          usage === null
+            ? undefined
+            : {
+                promptTokens: Number(usage[1]),
+                maxOutputTokens: Number(usage[2]),
+                expectedOutputTokens: undefined,
+              },
+        lastEventId: undefined,
+      });
+    },
+    repeats: { ratio: 0.2, allowance: 52, windowMs: 10_000 },
+    graceMs: 8_000,
+    telemetry: createTelemetry({ vm: name }, (_, context, text) => {
+      events.push(`${text} ${JSON.stringify(context)}`);
+    }),
+  });
+  await node.start();
+  return {
+    node,
+    url: `http://${host}:${callers}`,
+    port: callers,
+    readyUrl: `http://${host}:${readiness}/ready`,
+    events,
+    peer: { node: name, host, port: peers },
+  };
+}
+
+/** Waits until a condition holds; the test's own time limit ends a wait that never does. */
+export async function waitUntil(condition: () => boolean | Promise<boolean>): Promise<void> {
+  while (!(await condition())) {
+    await new Promise((resolve) => {
+      setTimeout(resolve, 10);
+    });
+  }
+}
+
+export async function waitUntilReady({ readyUrl }: TestNode): Promise<void> {
+  await waitUntil(async () => (await fetch(readyUrl)).status === 200);
+}
