Let late requests wait behind punctual ones; reserve the memory that runs occupy on average

Ruled out: prefill capacity, except for 4 s after a crash. Whole expected answers were reserved although runs are in different phases.

A queue whose timer fired early by the monotonic clock had no next attempt until another event; found by the test 'a late request is served once memory is free again', which failed before.

--- a/packages/serving/src/engine-queue.ts
+++ b/packages/serving/src/engine-queue.ts
@@ -1,6 +1,10 @@
 /**
  * Requests that wait for memory on a decode engine of one pool. The engine itself grants the memory,
  * so that nodes need no owner for it; the queue decides who asks first and when waiting is no use.
+ *
+ * Load: bursts that last longer than callers' targets. A run holds its memory for seconds, so a late
+ * request that is served makes one or more punctual ones late. Late requests therefore ask only
+ * while no punctual one waits, and only for memory that leaves room for the next punctual ones.
  */
 import { createError, monotonicMs } from '@hibiscusbank/core';
 import type { RouterError } from '@hibiscusbank/core';
@@ -24,7 +28,7 @@
   readonly patienceMs: number;
   readonly signal: AbortSignal;
   /** Asks engines for a reservation; `undefined` when none has room. */
-  readonly reserve: () => Promise<T | undefined>;
+  readonly reserve: (isLate: boolean) => Promise<T | undefined>;
   /** Gives back a reservation that came after the request had ended. */
   readonly drop: (reservation: T) => void;
 }
@@ -50,6 +54,7 @@
 /** Creates the queue of a pool. */
 export function createEngineQueue<T>({ retryAfterMs }: EngineQueueOptions): EngineQueue<T> {
   const queue = createFairQueue<Entry<T>>();
+  const late = new Set<Entry<T>>();
   const asking = new Set<Entry<T>>();
   let pausedUntil = 0;
   let timer: NodeJS.Timeout | undefined;
@@ -65,13 +70,15 @@
     pausedUntil = monotonicMs() + REFUSED_PAUSE_MS;
     timer ??= setTimeout(() => {
       timer = undefined;
+      // Timers fire up to a millisecond early by the monotonic clock.
+      pausedUntil = 0;
       pump();
     }, REFUSED_PAUSE_MS);
   };
 
-  const ask = async (entry: Entry<T>): Promise<void> => {
+  const ask = async (entry: Entry<T>, isLate: boolean): Promise<void> => {
     asking.add(entry);
-    const reservation = await entry.req.reserve();
+    const reservation = await entry.req.reserve(isLate);
     asking.delete(entry);
     if (reservation === undefined) {
       if (entry.settle !== undefined) pause();
@@ -80,22 +87,32 @@
     if (entry.settle === undefined) {
       entry.req.drop(reservation);
     } else {
-      queue.serve(entry);
+      if (!late.delete(entry)) queue.serve(entry);
       finish(entry, ok(reservation));
     }
     pump();
   };
 
+  /** One late request at a time, the oldest first. */
+  const askLate = (): void => {
+    if (queue.size() > 0) return;
+    const [oldest] = late;
+    if (oldest !== undefined && !asking.has(oldest)) void ask(oldest, true);
+  };
+
   pump = (): void => {
     while (asking.size < MAX_ASKING && monotonicMs() >= pausedUntil) {
       const entry = queue.pick(monotonicMs(), asking);
-      if (entry === undefined) return;
-      void ask(entry);
+      if (entry === undefined) {
+        askLate();
+        return;
+      }
+      void ask(entry, false);
     }
   };
 
   return {
-    size: () => queue.size(),
+    size: () => queue.size() + late.size,
     notifyFree: () => {
       pausedUntil = 0;
       pump();
@@ -115,6 +132,7 @@
         };
         const giveUp = (error: RouterError): void => {
           queue.remove(entry);
+          late.delete(entry);
           finish(entry, err(error));
         };
         const expiry = setTimeout(() => {
@@ -127,13 +145,20 @@
         }, req.patienceMs);
         const onAbort = (): void =>
           giveUp(createError('cancelled', 'the request ended', { effect: 'not_run' }));
+        const lateness = setTimeout(() => {
+          queue.remove(entry);
+          late.add(entry);
+          pump();
+        }, req.lateMs);
         entry.settle = (result) => {
           clearTimeout(expiry);
+          clearTimeout(lateness);
           req.signal.removeEventListener('abort', onAbort);
           resolve(result);
         };
         req.signal.addEventListener('abort', onAbort, { once: true });
-        queue.add(entry);
+        if (req.lateMs > 0) queue.add(entry);
+        else late.add(entry);
         pump();
       }),
   };
--- a/packages/serving/src/reserve-engine.ts
+++ b/packages/serving/src/reserve-engine.ts
@@ -11,15 +11,22 @@
 const MAX_ENGINES_ASKED = 3;
 /** A reservation is answered from memory; an engine that takes longer is not in order. */
 const RESERVE_TIMEOUT_MS = 250;
-/** Estimates of the answer are right at the median; this much more covers most answers. */
-const EXPECTATION_MARGIN = 1.2;
+/**
+ * Part of the expected answer that is reserved. Runs are in different phases, so that on average half
+ * of their answers is in memory at a time.
+ */
+const RESERVED_ANSWER_SHARE = 0.6;
+/** Part of an engine's memory that a late request leaves free for punctual ones. */
+const LATE_FREE_SHARE = 0.2;
 
-/** Tokens to reserve: the prompt and the answer as far as it is likely. */
+/** Tokens to reserve: the prompt and the part of the answer that is in memory on average. */
 export function reservationTokens(usage: ModelUsage): number {
   const { promptTokens, maxOutputTokens, expectedOutputTokens } = usage;
-  if (expectedOutputTokens === undefined) return promptTokens + maxOutputTokens;
   return (
-    promptTokens + Math.min(maxOutputTokens, Math.ceil(expectedOutputTokens * EXPECTATION_MARGIN))
+    promptTokens +
+    Math.ceil(
+      RESERVED_ANSWER_SHARE * Math.min(maxOutputTokens, expectedOutputTokens ?? maxOutputTokens),
+    )
   );
 }
 
@@ -30,12 +37,13 @@
   engine: EngineTraits,
   tokens: number,
   excluded: ReadonlySet<UpstreamId>,
+  isLate: boolean,
 ): Promise<EngineReservation | undefined> {
   const { directory, transport, loads, health, telemetry } = context;
   const { pool, req, signal } = admitted;
   const choice = createChoiceContext(context, pool, loads, excluded);
   const ranked = rankDecode(directory.usable(pool.id), choice, {
-    tokens,
+    tokens: isLate ? tokens + engine.memoryTokens * LATE_FREE_SHARE : tokens,
     memoryTokens: engine.memoryTokens,
     slots: engine.slots,
   });
--- a/packages/serving/src/serve-stream.ts
+++ b/packages/serving/src/serve-stream.ts
@@ -23,7 +23,7 @@
 /** Pause between two checks for a stall. */
 const STALL_CHECK_MS = 200;
 /** Time after which a refused caller comes back: about the rest of a short burst. */
-const RETRY_AFTER_MS = 2_000;
+const RETRY_AFTER_MS = 3_000;
 
 interface StreamState {
   readonly admitted: AdmittedServing;
@@ -54,8 +54,6 @@
     targetMs: admitted.route.targetMs,
     elapsedMs: monotonicMs() - admitted.startedAt,
     remainingMs: remainingMs(admitted),
-    patienceMs: admitted.req.patienceMs ?? admitted.route.timeLimitMs,
-    timeLimitMs: admitted.route.timeLimitMs,
     hasEvents: state.progress.hasEvents,
   });
   return context.queue(pool.id).wait({
@@ -64,7 +62,7 @@
     lateMs: plan.lateMs,
     patienceMs: plan.patienceMs,
     signal,
-    reserve: () => reserveEngine(context, admitted, engine, tokens, failedDecode),
+    reserve: (isLate) => reserveEngine(context, admitted, engine, tokens, failedDecode, isLate),
     drop: (reservation) => {
       reservation.release();
       context.transport.dropReservation(reservation.upstream, reservation.id);
--- a/packages/serving/src/serving-node.ts
+++ b/packages/serving/src/serving-node.ts
@@ -78,7 +78,7 @@
 const GRACE_MARGIN_MS = 500;
 const IDLE_CHECK_MS = 25;
 /** Time after which a caller that found no memory comes back. */
-const QUEUE_RETRY_AFTER_MS = 2_000;
+const QUEUE_RETRY_AFTER_MS = 3_000;
 /** Idle connections of callers outlive the limit that callers keep to. */
 const IDLE_MARGIN_MS = 1_000;
 const DEFAULT_IDLE_MS = 20_000;
--- a/packages/serving/src/wait-plan.ts
+++ b/packages/serving/src/wait-plan.ts
@@ -1,7 +1,7 @@
 /**
  * Decides how long a stream waits for memory. Load: bursts in which memory is short for seconds. A
- * request that waits past its target earns its caller little and delays others that could still be
- * on time, so it is refused then and told when to come back; one that came back waits longer.
+ * request that cannot be on time waits behind those that can; it is given up before its caller gives
+ * up, and told when to come back.
  */
 
 export interface WaitFacts {
@@ -11,10 +11,6 @@
   readonly elapsedMs: number;
   /** Time left until the caller or the route gives up. */
   readonly remainingMs: number;
-  /** Time that the caller said it waits, when the request arrived. */
-  readonly patienceMs: number;
-  /** Time that the route allows. */
-  readonly timeLimitMs: number;
   /** Whether the caller has a part of the answer. */
   readonly hasEvents: boolean;
 }
@@ -27,21 +23,18 @@
 }
 
 /** Time from a reservation to the first event: prefill, transfer, first step, and the way back. */
-const FIRST_EVENT_MS = 250;
+const FIRST_EVENT_MS = 280;
 /** A run needs this long after its first event, so waiting beyond it cannot be answered. */
-const RUN_MS = 4_000;
-/** Part of the route's time that a caller must have used to count as having come back. */
-const RETURNED_SHARE = 0.04;
-/** Time for which a request waits that has nothing to lose by it. */
-const RETURNED_PATIENCE_MS = 3_000;
+const RUN_MS = 3_500;
+/** Callers leave a stream without an event after this many targets. */
+const CALLER_PATIENCE_TARGETS = 4;
 
 /** Plans the wait of a request. */
 export function planWait(facts: WaitFacts): WaitPlan {
-  const { targetMs, elapsedMs, remainingMs, patienceMs, timeLimitMs } = facts;
+  const { targetMs, elapsedMs, remainingMs, hasEvents } = facts;
+  if (hasEvents) return { lateMs: 0, patienceMs: remainingMs };
   const lateMs = Math.max(0, targetMs - elapsedMs - FIRST_EVENT_MS);
-  const usefulMs = Math.max(0, remainingMs - RUN_MS);
-  if (facts.hasEvents) return { lateMs: 0, patienceMs: remainingMs };
-  const hasReturned = patienceMs < timeLimitMs * (1 - RETURNED_SHARE);
-  const patience = hasReturned ? RETURNED_PATIENCE_MS : lateMs;
-  return { lateMs: hasReturned ? 0 : lateMs, patienceMs: Math.min(usefulMs, patience) };
+  const callerMs = targetMs * CALLER_PATIENCE_TARGETS - elapsedMs - FIRST_EVENT_MS;
+  const patienceMs = Math.max(0, Math.min(remainingMs - RUN_MS, callerMs));
+  return { lateMs, patienceMs };
 }
