Prefer engines in the node's data centre; watch less often

Ruled out: the balance between data centres; engines and callers are spread evenly. A watch whose history is gone is now followed by a list at once, since a server can leave in the gap.

--- a/packages/serving/src/object-feed.ts
+++ b/packages/serving/src/object-feed.ts
@@ -115,7 +115,7 @@
           if (mustList) await sleep(RETRY_PAUSE_MS, signal);
         } else {
           mustList = !(await watch());
-          await sleep(options.pauseMs, signal);
+          if (!mustList) await sleep(options.pauseMs, signal);
         }
       }
     },
--- a/packages/serving/src/placement.ts
+++ b/packages/serving/src/placement.ts
@@ -27,8 +27,20 @@
 
 /** A failing upstream counts as this many requests under way at a failure rate of 1. */
 const FAILURE_PENALTY = 12;
-/** Part of a request by which an upstream in the node's data centre is preferred. */
-const LOCAL_BONUS = 0.4;
+/** Part of a request by which a plain upstream in the node's data centre is preferred. */
+const LOCAL_PLAIN = 0.4;
+/**
+ * Prompts by which a prefill engine beside the decode engine is preferred: the KV cache then stays
+ * in the data centre, at the price of waiting for one more prompt.
+ */
+const LOCAL_PREFILL = 2;
+/**
+ * Part of an engine's memory by which a decode engine in the node's data centre is preferred, so
+ * that a partition between data centres cuts few streams.
+ */
+const LOCAL_DECODE_SHARE = 0.25;
+/** Part of a request by which equal upstreams are shuffled. */
+const TIE_BREAK = 0.2;
 /** Cold upstreams are slow; they count as having this many more requests. */
 const COLD_PENALTY = 4;
 /** Prompt tokens that count like one request when prefill engines are compared. */
@@ -49,7 +61,7 @@
   candidates: readonly KnownUpstream[],
   context: ChoiceContext,
   scoreLoad: (state: CandidateState) => number,
-  preferred: DataCentreId,
+  preferred: { readonly dataCentre: DataCentreId; readonly bonus: number },
 ): KnownUpstream[] {
   const scored: Scored[] = [];
   const ejected: Scored[] = [];
@@ -61,8 +73,8 @@
       scoreLoad(state) +
       state.failureRate * FAILURE_PENALTY +
       (state.isCold ? COLD_PENALTY : 0) -
-      (upstream.dataCentre === preferred ? LOCAL_BONUS : 0) +
-      context.random() * LOCAL_BONUS * 0.5;
+      (upstream.dataCentre === preferred.dataCentre ? preferred.bonus : 0) +
+      context.random() * TIE_BREAK;
     (state.isEjected ? ejected : scored).push({ upstream, score });
   }
   scored.sort((a, b) => a.score - b.score);
@@ -77,7 +89,10 @@
   candidates: readonly KnownUpstream[],
   context: ChoiceContext,
 ): KnownUpstream[] {
-  return rank(candidates, context, (state) => state.requests, context.dataCentre);
+  return rank(candidates, context, (state) => state.requests, {
+    dataCentre: context.dataCentre,
+    bonus: LOCAL_PLAIN,
+  });
 }
 
 /** Orders prefill engines by prompt tokens under way, preferring the data centre of the decode engine. */
@@ -87,7 +102,10 @@
   decode: DataCentreId,
 ): KnownUpstream[] {
   const prefill = candidates.filter(({ role }) => role === 'prefill');
-  return rank(prefill, context, (state) => state.tokens / TOKENS_PER_REQUEST, decode);
+  return rank(prefill, context, (state) => state.tokens / TOKENS_PER_REQUEST, {
+    dataCentre: decode,
+    bonus: LOCAL_PREFILL,
+  });
 }
 
 /**
@@ -107,10 +125,8 @@
       state.requests < need.slots
     );
   });
-  return rank(
-    fitting,
-    context,
-    (state) => (state.tokens / need.memoryTokens) * need.slots,
-    context.dataCentre,
-  );
+  return rank(fitting, context, (state) => (state.tokens / need.memoryTokens) * need.slots, {
+    dataCentre: context.dataCentre,
+    bonus: LOCAL_DECODE_SHARE * need.slots,
+  });
 }
--- a/packages/serving/src/serving-node.ts
+++ b/packages/serving/src/serving-node.ts
@@ -67,11 +67,11 @@
 }
 
 /** Longest wait of a watch for tables and places out of service. */
-const QUIET_WATCH_MS = 2_500;
+const QUIET_WATCH_MS = 5_000;
 const QUIET_PAUSE_MS = 30;
 /** Upstreams write several times a second; changes gather in this pause. */
 const BUSY_WATCH_MS = 1_000;
-const BUSY_PAUSE_MS = 250;
+const BUSY_PAUSE_MS = 450;
 /** The balancer takes a node out after two questions, a second apart, without success. */
 const BALANCER_NOTICE_MS = 2_600;
 /** The process ends this long before it would be killed. */
