Keep a KV cache that no engine fetched; avoid data centres that do not answer; test the decisions

When a data centre was cut off, each of its upstreams was tried before requests went elsewhere.

The reuse of KV caches is not measured yet.

--- a/packages/core/src/events.ts
+++ b/packages/core/src/events.ts
@@ -105,6 +105,11 @@
   reservationGranted: define(1818, 'info', 'engine reserved memory and a slot'),
   promptRead: define(1819, 'info', 'prompt read by a prefill engine'),
   streamStarted: define(1820, 'info', 'first event of a stream relayed'),
+  dataCentreSilent: define(
+    1823,
+    'warn',
+    'no upstream of a data centre answers; others are preferred',
+  ),
   settingsReloaded: define(1816, 'info', 'settings read again'),
 
   invariantViolated: define(1901, 'error', 'invariant violated'),
--- a/packages/serving/src/context.ts
+++ b/packages/serving/src/context.ts
@@ -92,7 +92,7 @@
         requests: loads.requests(upstream.id),
         tokens: loads.tokens(upstream.id),
         failureRate: health.failureRate(upstream.id),
-        isEjected: health.isEjected(upstream.id),
+        isEjected: health.isEjected(upstream),
         isCold,
         hasRoom: !isCold || cold.hasRoom(upstream.id, pool.coldRequestsPerSecond),
       };
--- a/packages/serving/src/failures.ts
+++ b/packages/serving/src/failures.ts
@@ -36,3 +36,8 @@
       }
     : { error: createError('timeout', 'the upstream did not answer in time'), effect };
 }
+
+/** Whether a failed send got no answer at all. */
+export function isSilent({ reason }: SendFailure): boolean {
+  return reason === 'unreachable' || reason === 'aborted';
+}
--- a/packages/serving/src/placement.ts
+++ b/packages/serving/src/placement.ts
@@ -27,8 +27,11 @@
 
 /** A failing upstream counts as this many requests under way at a failure rate of 1. */
 const FAILURE_PENALTY = 12;
-/** Part of a request by which a plain upstream in the node's data centre is preferred. */
-const LOCAL_PLAIN = 0.4;
+/**
+ * Requests by which a plain upstream in the node's data centre is preferred. Half of a usual number
+ * of slots: within it nobody waits, and a partition between data centres cuts no request.
+ */
+const LOCAL_PLAIN = 3;
 /**
  * Prompts by which a prefill engine beside the decode engine is preferred: the KV cache then stays
  * in the data centre, at the price of waiting for one more prompt.
--- a/packages/serving/src/prefill-prompt.ts
+++ b/packages/serving/src/prefill-prompt.ts
@@ -4,6 +4,7 @@
 import { createChoiceContext, organisationOf, remainingMs } from './context.js';
 import type { AdmittedServing, EngineReservation, ServingContext } from './context.js';
 import { rankPrefill } from './placement.js';
+import { isSilent } from './failures.js';
 import { startTimeLimit } from './time-limit.js';
 import type { KvHandle } from './types.js';
 
@@ -48,7 +49,7 @@
     limit.stop();
     release();
     if (result.isOk()) {
-      health.recordSuccess(upstream.id);
+      health.recordSuccess(upstream);
       telemetry.log('promptRead', {
         request: req.id,
         upstream: upstream.id,
@@ -58,7 +59,7 @@
       return result.value;
     }
     if (signal.aborted) return undefined;
-    health.recordFailure(upstream.id);
+    health.recordFailure(upstream, isSilent(result.error) ? 'silent' : 'answered');
     failed.add(upstream.id);
     telemetry.log('prefillFailed', {
       request: req.id,
--- a/packages/serving/src/reserve-engine.ts
+++ b/packages/serving/src/reserve-engine.ts
@@ -67,7 +67,7 @@
     release();
     const { reason } = result.error;
     if (expired || reason === 'unreachable' || reason === 'broken') {
-      health.recordFailure(upstream.id);
+      health.recordFailure(upstream, reason === 'broken' ? 'answered' : 'silent');
     }
     telemetry.log('reservationRefused', {
       request: req.id,
--- a/packages/serving/src/serve-plain.ts
+++ b/packages/serving/src/serve-plain.ts
@@ -7,7 +7,7 @@
 import { createChoiceContext, organisationOf, remainingMs } from './context.js';
 import type { AdmittedServing, ServingContext } from './context.js';
 import type { KnownUpstream } from './directory.js';
-import { describeFailure, describeTimeout } from './failures.js';
+import { describeFailure, describeTimeout, isSilent } from './failures.js';
 import type { ServingFailure } from './failures.js';
 import { readWhole } from './http-exchange.js';
 import { rankPlain } from './placement.js';
@@ -54,16 +54,18 @@
   release();
   if (sent.isErr()) {
     const isOwnEnd = sent.error.reason === 'aborted' && !limit.isExpired();
-    if (!isOwnEnd && sent.error.reason !== 'moved') health.recordFailure(upstream.id);
+    if (!isOwnEnd && sent.error.reason !== 'moved') {
+      health.recordFailure(upstream, isSilent(sent.error) ? 'silent' : 'answered');
+    }
     return err(sent.error);
   }
   if (body === undefined) {
-    if (!admitted.signal.aborted) health.recordFailure(upstream.id);
+    if (!admitted.signal.aborted) health.recordFailure(upstream, 'answered');
     return err({ effect: 'unknown', wasSent: true, reason: 'broken' });
   }
   const answer = { reply: sent.value, body };
-  if (isUpstreamError(answer)) health.recordFailure(upstream.id);
-  else health.recordSuccess(upstream.id);
+  if (isUpstreamError(answer)) health.recordFailure(upstream, 'answered');
+  else health.recordSuccess(upstream);
   return ok(answer);
 }
 
--- a/packages/serving/src/serve-stream.ts
+++ b/packages/serving/src/serve-stream.ts
@@ -22,6 +22,8 @@
 const STALL_LIMIT_MS = 1_200;
 /** Pause between two checks for a stall. */
 const STALL_CHECK_MS = 200;
+/** Part of the time for which a KV cache is kept in which it is still sent to an engine. */
+const HANDLE_SHARE = 0.6;
 /** Time after which a refused caller comes back: about the rest of a short burst. */
 const RETRY_AFTER_MS = 3_000;
 
@@ -31,6 +33,8 @@
   readonly progress: StreamProgress;
   readonly failedPrefill: Set<UpstreamId>;
   readonly failedDecode: Set<UpstreamId>;
+  /** A prompt that was read and whose KV cache no engine has fetched. */
+  kept: { readonly handle: KvHandle; readonly until: number } | undefined;
   runs: number;
   effect: 'not_run' | 'unknown';
 }
@@ -144,13 +148,25 @@
     : await relay(context, state, sent.value);
   stopWatch();
   limit.stop();
-  if (end.kind === 'answered') health.recordSuccess(reservation.upstream.id);
+  if (end.kind === 'answered') health.recordSuccess(reservation.upstream);
   else if (end.kind === 'failed' && end.failure.effect === 'unknown' && !admitted.signal.aborted) {
-    health.recordFailure(reservation.upstream.id);
+    health.recordFailure(reservation.upstream, 'answered');
   }
   return end;
 }
 
+/** Takes the prompt that was read before for an engine that then was not there, or has it read. */
+async function obtainHandle(
+  context: ServingContext,
+  state: StreamState,
+  reservation: EngineReservation,
+): Promise<KvHandle | undefined> {
+  const { kept } = state;
+  state.kept = undefined;
+  if (kept !== undefined && monotonicMs() < kept.until) return kept.handle;
+  return prefillPrompt(context, state.admitted, reservation, state.failedPrefill);
+}
+
 async function runOnce(
   context: ServingContext,
   state: StreamState,
@@ -159,27 +175,26 @@
   const { transport, directory } = context;
   const { admitted, progress } = state;
   const isContinued = progress.hasEvents || admitted.req.lastEventId !== undefined;
-  const handle = isContinued
-    ? undefined
-    : await prefillPrompt(context, admitted, reservation, state.failedPrefill);
-  const drop = (): void => {
+  const handle = isContinued ? undefined : await obtainHandle(context, state, reservation);
+  const keep = (): void => {
     transport.dropReservation(reservation.upstream, reservation.id);
-    if (handle !== undefined) transport.dropHandle(handle);
+    if (handle === undefined) return;
+    if (admitted.signal.aborted) transport.dropHandle(handle);
+    else state.kept = { handle, until: monotonicMs() + state.engine.handleMs * HANDLE_SHARE };
   };
   if (admitted.signal.aborted || !directory.isUsable(reservation.upstream)) {
-    drop();
+    keep();
     return { kind: 'not_sent' };
   }
   const end = await decode(context, state, reservation, handle);
-  if (end.kind === 'failed' && !end.failure.wasSent) drop();
-  else if (end.kind === 'failed' && end.failure.effect === 'not_run') {
+  if (end.kind !== 'failed' || end.failure.effect !== 'not_run') return end;
+  if (end.failure.reason === 'refused' && handle !== undefined) {
     // The engine may have refused because the result of this prefill could not be fetched.
-    if (handle !== undefined) {
-      state.failedPrefill.add(handle.upstream.id);
-      context.health.recordFailure(handle.upstream.id);
-    }
-    drop();
-  }
+    state.failedPrefill.add(handle.upstream.id);
+    context.health.recordFailure(handle.upstream, 'answered');
+    transport.dropReservation(reservation.upstream, reservation.id);
+    transport.dropHandle(handle);
+  } else keep();
   return end;
 }
 
@@ -211,6 +226,7 @@
     progress: { lastId: undefined, hasEvents: false, lastEventAt: 0 },
     failedPrefill: new Set(),
     failedDecode: new Set(),
+    kept: undefined,
     runs: 0,
     effect: 'not_run',
   };
@@ -245,6 +261,7 @@
     }
     if (signal.aborted || !mayRepeat(context, state, lastFailure)) break;
   }
+  if (state.kept !== undefined) context.transport.dropHandle(state.kept.handle);
   if (signal.aborted) return finishFailed(state, describeTimeout(state.effect));
   return finishFailed(
     state,
--- a/packages/serving/src/upstream-health.ts
+++ b/packages/serving/src/upstream-health.ts
@@ -1,6 +1,10 @@
-/** Judges upstreams by their answers, since health checks cost them capacity and can be wrong. */
+/**
+ * Judges upstreams by their answers, since health checks cost them capacity and can be wrong. Calls
+ * without any answer are counted for the data centre too: when one is cut off, requests should not
+ * find that out at each of its upstreams.
+ */
 import { monotonicMs } from '@hibiscusbank/core';
-import type { Telemetry, UpstreamId } from '@hibiscusbank/core';
+import type { DataCentreId, Telemetry, UpstreamId } from '@hibiscusbank/core';
 import { createFailureBackoff } from '@hibiscusbank/scheduler';
 import type { FailureBackoff } from '@hibiscusbank/scheduler';
 
@@ -12,14 +16,21 @@
 export interface UpstreamHealth {
   /** Recent failure rate, 0 to 1. */
   failureRate(upstream: UpstreamId): number;
-  /** Whether it failed several times in a row a moment ago. */
-  isEjected(upstream: UpstreamId): boolean;
-  recordSuccess(upstream: UpstreamId): void;
-  recordFailure(upstream: UpstreamId): void;
+  /** Whether it or its whole data centre failed several times in a row a moment ago. */
+  isEjected(upstream: PlacedUpstream): boolean;
+  recordSuccess(upstream: PlacedUpstream): void;
+  /** `silent`: it did not answer at all. */
+  recordFailure(upstream: PlacedUpstream, how: 'answered' | 'silent'): void;
   /** Forgets upstreams that are gone. */
   retain(upstreams: ReadonlySet<UpstreamId>): void;
 }
 
+/** An upstream and where it is. */
+export interface PlacedUpstream {
+  readonly id: UpstreamId;
+  readonly dataCentre: DataCentreId;
+}
+
 interface Record {
   readonly backoff: FailureBackoff;
   rate: number;
@@ -29,6 +40,7 @@
 /** Creates the health of all upstreams as one node sees it. */
 export function createUpstreamHealth(telemetry: Telemetry): UpstreamHealth {
   const records = new Map<UpstreamId, Record>();
+  const dataCentres = new Map<DataCentreId, FailureBackoff>();
 
   const read = (upstream: UpstreamId): Record => {
     let record = records.get(upstream);
@@ -47,26 +59,41 @@
     record.updatedAt = monotonicMs();
   };
 
-  const isEjected = (upstream: UpstreamId): boolean =>
-    records.get(upstream)?.backoff.state(monotonicMs()) === 'ejected';
+  const readDataCentre = (dataCentre: DataCentreId): FailureBackoff => {
+    const known = dataCentres.get(dataCentre) ?? createFailureBackoff();
+    dataCentres.set(dataCentre, known);
+    return known;
+  };
+
+  const isAvoided = (backoff: FailureBackoff | undefined): boolean =>
+    backoff?.state(monotonicMs()) === 'ejected';
 
   return {
     failureRate: (upstream) => {
       const record = records.get(upstream);
       return record === undefined ? 0 : decayedRate(record);
     },
-    isEjected,
-    recordSuccess: (upstream) => {
-      const record = read(upstream);
+    isEjected: ({ id, dataCentre }) =>
+      isAvoided(records.get(id)?.backoff) || isAvoided(dataCentres.get(dataCentre)),
+    recordSuccess: ({ id, dataCentre }) => {
+      const record = read(id);
       record.backoff.recordSuccess();
+      readDataCentre(dataCentre).recordSuccess();
       update(record, 0);
     },
-    recordFailure: (upstream) => {
-      const record = read(upstream);
-      const before = isEjected(upstream);
+    recordFailure: ({ id, dataCentre }, how) => {
+      const record = read(id);
+      const place = readDataCentre(dataCentre);
+      const wasAvoided = isAvoided(record.backoff);
+      const wasCutOff = isAvoided(place);
       record.backoff.recordFailure(monotonicMs());
       update(record, 1);
-      if (!before && isEjected(upstream)) telemetry.log('upstreamFailing', { upstream });
+      if (how === 'silent') place.recordFailure(monotonicMs());
+      else place.recordSuccess();
+      if (!wasAvoided && isAvoided(record.backoff)) {
+        telemetry.log('upstreamFailing', { upstream: id });
+      }
+      if (!wasCutOff && isAvoided(place)) telemetry.log('dataCentreSilent', { place: dataCentre });
     },
     retain: (upstreams) => {
       for (const upstream of records.keys()) {
--- /dev/null
+++ b/packages/serving/test/serve-plain.test.ts
@@ -0,0 +1,134 @@
+import { err, ok } from 'neverthrow';
+import { expect, test } from 'vitest';
+import type { SendFailure } from '../src/index.js';
+import {
+  createFakeTransport,
+  createReply,
+  createTables,
+  createTestStores,
+  createUpstream,
+  startTestNode,
+  waitUntil,
+  waitUntilReady,
+} from './support/test-node.js';
+import type { FakeTransport, TestNode, TestStores } from './support/test-node.js';
+
+const broken: SendFailure = { effect: 'unknown', wasSent: true, reason: 'broken' };
+const unreachable: SendFailure = { effect: 'not_run', wasSent: false, reason: 'unreachable' };
+
+async function startDesk(
+  transport: FakeTransport,
+  stores: TestStores = createTestStores(),
+): Promise<TestNode> {
+  for (const name of ['u1', 'u2', 'u3']) stores.upstreams.put(name, createUpstream(name));
+  const started = await startTestNode(stores, transport);
+  await waitUntilReady(started);
+  return started;
+}
+
+function call(started: TestNode, path: string, key = 'key-1'): Promise<Response> {
+  return fetch(`${started.url}${path}`, { headers: { authorization: `Bearer ${key}` } });
+}
+
+test('an idempotent request that broke off is answered by another upstream', async () => {
+  const transport = createFakeTransport();
+  transport.reply = async () =>
+    transport.sends.length === 1 ? err(broken) : ok(createReply(['done']));
+  const started = await startDesk(transport);
+  expect(await (await call(started, '/lookup/1')).text()).toBe('done');
+  expect(transport.sends[0]?.upstream.id).not.toBe(transport.sends[1]?.upstream.id);
+});
+
+// A booking that is sent twice books twice.
+test('a request that is not idempotent is sent once when its effect is unknown', async () => {
+  const transport = createFakeTransport();
+  transport.reply = async () => err(broken);
+  const started = await startDesk(transport);
+  expect((await call(started, '/book/1')).status).toBe(502);
+  expect(transport.sends).toHaveLength(1);
+});
+
+test('a request that is not idempotent is sent elsewhere when it was not sent', async () => {
+  const transport = createFakeTransport();
+  transport.reply = async () =>
+    transport.sends.length === 1 ? err(unreachable) : ok(createReply(['booked']));
+  const started = await startDesk(transport);
+  expect(await (await call(started, '/book/1')).text()).toBe('booked');
+});
+
+test('a body that is cut is never passed on as whole', async () => {
+  const transport = createFakeTransport();
+  transport.reply = async () => ok(createReply(['par'], false));
+  const started = await startDesk(transport);
+  expect((await call(started, '/book/1')).status).toBe(502);
+});
+
+test('an upstream that hangs costs an idempotent request a part of its target', async () => {
+  const transport = createFakeTransport();
+  transport.reply = (send) =>
+    transport.sends.length === 1
+      ? new Promise((resolve) => {
+          send.signal.addEventListener('abort', () => {
+            resolve(err({ effect: 'unknown', wasSent: true, reason: 'aborted' }));
+          });
+        })
+      : Promise.resolve(ok(createReply(['done'])));
+  const started = await startDesk(transport);
+  expect(await (await call(started, '/lookup/1')).text()).toBe('done');
+});
+
+test('a withdrawn key is refused on the next request, also on a kept connection', async () => {
+  const stores = createTestStores();
+  const transport = createFakeTransport();
+  const started = await startDesk(transport, stores);
+  expect((await call(started, '/lookup/1')).status).toBe(200);
+  stores.tables.put('main', createTables({ version: 2, organisations: [] }));
+  await waitUntil(async () => (await call(started, '/lookup/1')).status === 401);
+});
+
+test('a configuration of an older version never replaces a newer one', async () => {
+  const stores = createTestStores(createTables({ version: 5 }));
+  const started = await startDesk(createFakeTransport(), stores);
+  stores.tables.put('main', createTables({ version: 4, routes: [] }));
+  stores.tables.put('main', createTables({ version: 6, organisations: [] }));
+  await waitUntil(async () => (await call(started, '/lookup/1')).status === 401);
+  expect(started.events.filter((line) => line.includes('"version":4'))).toEqual([]);
+});
+
+test('an upstream that leaves and a data centre out of service get nothing more', async () => {
+  const stores = createTestStores();
+  const transport = createFakeTransport();
+  const started = await startDesk(transport, stores);
+  stores.upstreams.put('u1', createUpstream('u1', { isReady: false }));
+  stores.upstreams.drop('u2');
+  await waitUntil(
+    () => started.events.filter((line) => line.startsWith('upstream no longer')).length === 1,
+  );
+  await call(started, '/lookup/1');
+  expect(transport.sends.at(-1)?.upstream.id).toBe('u3');
+  stores.outOfService.put('a', {});
+  await waitUntil(async () => (await call(started, '/lookup/1')).status === 503);
+});
+
+// A node that the store turns away would serve withdrawn keys until the store answers again.
+test('a node that the store does not answer learns a withdrawal from its peer', async () => {
+  const shared = createTestStores();
+  const cut = { ...shared, tables: createTestStores().tables };
+  shared.upstreams.put('u1', createUpstream('u1'));
+  const first = await startTestNode(shared, createFakeTransport(), 'node-1');
+  const second = await startTestNode(cut, createFakeTransport(), 'node-2', [first.peer]);
+  await Promise.all([waitUntilReady(first), waitUntilReady(second)]);
+  cut.tables.setDown(true);
+  for (let round = 0; round < 3; round += 1) shared.tables.put('other', round);
+  shared.tables.put('main', createTables({ version: 2, organisations: [] }));
+  await waitUntil(async () => (await call(second, '/lookup/1')).status === 401);
+  expect(second.events.some((line) => line.startsWith('list read from a peer'))).toBe(true);
+});
+
+test('a watch whose history is gone is followed by a new list', async () => {
+  const stores = createTestStores();
+  const started = await startDesk(createFakeTransport(), stores);
+  stores.tables.put('main', createTables({ version: 2, organisations: [] }));
+  stores.tables.compact();
+  await waitUntil(async () => (await call(started, '/lookup/1')).status === 401);
+});
