--- a/packages/cli/src/app.ts
+++ b/packages/cli/src/app.ts
@@ -4,6 +4,7 @@
 import type { CommandHost } from './command-runner.js';
 import { outputOptions } from './common-options.js';
 import { createDemoCommand } from './demo-command.js';
+import { createExplainLogCommand } from './explain-log-command.js';
 import { exitCodes } from './exit-codes.js';
 import type { ExitCode } from './exit-codes.js';
 import { processDaemonPorts, runDaemon } from './node-command.js';
@@ -42,6 +43,7 @@
       vm: createDrainCommands(runner, 'vm'),
       upstream: createDrainCommands(runner, 'upstream'),
       ...createInspectionCommands(runner),
+      'explain-log': createExplainLogCommand(runner),
       demo: createDemoCommand(runner),
       load: loadCommand,
       standin: standinCommand,
--- /dev/null
+++ b/packages/cli/src/explain-log-command.ts
@@ -0,0 +1,121 @@
+/** `hibiscusbank explain-log`: tells the story of one request from the logs of nodes. */
+import { readFile } from 'node:fs/promises';
+import { createError, toError } from '@hibiscusbank/core';
+import { command, option, restPositionals, string } from 'cmd-ts';
+import type { CommandRunner } from './command-runner.js';
+import { outputOptions } from './common-options.js';
+import { present } from './output.js';
+
+export interface LogEvent {
+  /** Unix milliseconds by the clock of the VM that wrote the line. */
+  readonly time: number;
+  readonly vm: string;
+  readonly text: string;
+  /** The other fields of the line. */
+  readonly fields: Readonly<Record<string, unknown>>;
+}
+
+/** Events of the node's own state that explain what happened to a request. */
+const CONTEXT_EVENTS: ReadonlySet<string> = new Set([
+  'node started',
+  'node draining',
+  'node stopped',
+  'configuration applied',
+  'the store does not answer',
+  'the store answers again',
+  'upstream avoided after failures',
+  'no upstream of a data centre answers; others are preferred',
+]);
+
+/** Time before a request in which changes of the node's state are part of its story. */
+const CONTEXT_MS = 2_000;
+
+/** Reads one line; text before the JSON, such as a collector's prefix, is skipped. */
+export function parseLogLine(line: string): LogEvent | undefined {
+  const start = line.indexOf('{');
+  if (start < 0) return undefined;
+  try {
+    const { time, vm, text, ...rest } = JSON.parse(line.slice(start)) as Record<string, unknown>;
+    if (typeof time !== 'number' || typeof text !== 'string') return undefined;
+    const { level, event, dataCentre, ...fields } = rest;
+    return { time, vm: String(vm), text, fields };
+  } catch {
+    // Not a line of a node; logs of other programs may be in the same file.
+    return undefined;
+  }
+}
+
+/** The events of a request and what its nodes noted shortly before and during it. */
+export function findStory(events: readonly LogEvent[], request: string): readonly LogEvent[] {
+  const own = events.filter(({ fields }) => fields.request === request);
+  const vms = new Set(own.map(({ vm }) => vm));
+  const times = own.map(({ time }) => time);
+  const from = Math.min(...times) - CONTEXT_MS;
+  const to = Math.max(...times);
+  return events
+    .filter((event) => {
+      if (event.fields.request === request) return true;
+      return (
+        vms.has(event.vm) &&
+        event.time >= from &&
+        event.time <= to &&
+        CONTEXT_EVENTS.has(event.text)
+      );
+    })
+    .toSorted((a, b) => a.time - b.time);
+}
+
+function formatEvent({ time, vm, text, fields }: LogEvent, startedAt: number): string {
+  const details = Object.entries(fields)
+    .filter(([name]) => name !== 'request')
+    .map(([name, value]) => `${name}=${String(value)}`)
+    .join(' ');
+  return `${String(time - startedAt).padStart(7)} ms  ${vm}  ${text}  ${details}`.trimEnd();
+}
+
+async function readLog(file: string): Promise<string> {
+  try {
+    return await readFile(file, 'utf8');
+  } catch (thrown) {
+    throw createError('invalid_request', `cannot read ${file}; check the path`, {
+      cause: toError(thrown),
+    });
+  }
+}
+
+/** Creates the command. */
+export function createExplainLogCommand(runner: CommandRunner) {
+  return command({
+    name: 'explain-log',
+    description: 'Tell what happened to one request, from the logs of the nodes.',
+    args: {
+      ...outputOptions,
+      request: option({ type: string, long: 'request', description: 'id of the request' }),
+      files: restPositionals({ type: string, displayName: 'file' }),
+    },
+    handler: (args) =>
+      runner.run(args, async (output) => {
+        if (args.files.length === 0) {
+          throw createError('invalid_request', 'name at least one log file');
+        }
+        const texts = await Promise.all(args.files.map(readLog));
+        const events = texts
+          .flatMap((text) => text.split('\n'))
+          .map(parseLogLine)
+          .filter((event): event is LogEvent => event !== undefined);
+        const story = findStory(events, args.request);
+        if (story.length === 0) {
+          throw createError(
+            'not_found',
+            `no line names request ${args.request}; give the logs of all nodes of that time`,
+          );
+        }
+        const startedAt = story.find(({ fields }) => fields.request === args.request)?.time ?? 0;
+        present(
+          output,
+          story,
+          story.map((event) => formatEvent(event, startedAt)),
+        );
+      }),
+  });
+}
--- a/packages/serving/src/directory.ts
+++ b/packages/serving/src/directory.ts
@@ -74,8 +74,6 @@
   }
 }
 
-const MAIN_TABLES = 'main';
-
 /** Creates an empty directory. */
 export function createDirectory(decoders: EntryDecoders, telemetry: Telemetry): Directory {
   let index: TableIndex | undefined;
@@ -132,7 +130,7 @@
     isComplete: () => index !== undefined && haveUpstreams,
     upstreams: () => [...known.values()],
     setTables: (entries) => {
-      const entry = entries.get(MAIN_TABLES);
+      const entry = entries.get(decoders.tablesName);
       if (entry === undefined) return;
       const tables = decoders.tables(entry.value);
       if (tables === undefined) {
--- a/packages/serving/src/ports.ts
+++ b/packages/serving/src/ports.ts
@@ -73,6 +73,8 @@
 
 /** Decoders of the entries that the platform and its operators write. */
 export interface EntryDecoders {
+  /** Name of the entry that holds the newest tables. */
+  readonly tablesName: string;
   /** `undefined` for an entry that cannot be read. */
   readonly tables: (value: unknown) => ServingTables | undefined;
   readonly upstream: (name: string, value: unknown) => ServingUpstream | undefined;
--- a/packages/serving/src/repeat-budget.ts
+++ b/packages/serving/src/repeat-budget.ts
@@ -18,6 +18,8 @@
 
 export interface RepeatBudget {
   recordRequest(pool: PoolId): void;
+  /** Whether an extra send could be taken now. */
+  hasRoom(pool: PoolId): boolean;
   /** Takes one extra send; false when the budget is used up. */
   take(pool: PoolId): boolean;
 }
@@ -55,16 +57,21 @@
     return budget;
   };
 
+  const hasRoom = (pool: PoolId): boolean => {
+    const budget = read(pool);
+    const part = (allowance * ALLOWANCE_SHARE) / Math.max(1, nodes());
+    const limit = Math.floor(USED_SHARE * ratio * budget.requests.length + part);
+    return budget.repeats.length < limit;
+  };
+
   return {
+    hasRoom,
     recordRequest: (pool) => {
       read(pool).requests.push(monotonicMs());
     },
     take: (pool) => {
-      const budget = read(pool);
-      const part = (allowance * ALLOWANCE_SHARE) / Math.max(1, nodes());
-      const limit = Math.floor(USED_SHARE * ratio * budget.requests.length + part);
-      if (budget.repeats.length >= limit) return false;
-      budget.repeats.push(monotonicMs());
+      if (!hasRoom(pool)) return false;
+      read(pool).repeats.push(monotonicMs());
       return true;
     },
   };
--- a/packages/serving/src/serve-plain.ts
+++ b/packages/serving/src/serve-plain.ts
@@ -85,10 +85,12 @@
 
   for (let sends = 0; sends < MAX_SENDS && !signal.aborted; sends += 1) {
     const choice = createChoiceContext(context, pool, loads, excluded);
-    const [upstream] = rankPlain(directory.usable(pool.id), choice);
+    const [upstream, other] = rankPlain(directory.usable(pool.id), choice);
     if (upstream === undefined) break;
     if (sends > 0 && lastFailure.wasSent && !budget.take(pool.id)) break;
-    const mayTryAnother = mayRepeat && runs + 1 < route.maxAttempts;
+    // A send is cut short only where another one can follow.
+    const mayTryAnother =
+      mayRepeat && runs + 1 < route.maxAttempts && other !== undefined && budget.hasRoom(pool.id);
     const limitMs = mayTryAnother ? route.targetMs * RETRY_AFTER_TARGET : remainingMs(admitted);
     const startedAt = monotonicMs();
     const result = await sendOnce(context, admitted, upstream, limitMs);
--- a/packages/serving/test/serve-plain.test.ts
+++ b/packages/serving/test/serve-plain.test.ts
@@ -1,3 +1,4 @@
+import { sleep } from '@hibiscusbank/core';
 import { err, ok } from 'neverthrow';
 import { expect, test } from 'vitest';
 import type { SendFailure } from '../src/index.js';
@@ -77,6 +78,22 @@
   expect(await (await call(started, '/lookup/1')).text()).toBe('done');
 });
 
+// Cutting the only send that the request can have turns a slow answer into a failure.
+test('a slow idempotent request is not cut when no other upstream could serve it', async () => {
+  const transport = createFakeTransport();
+  transport.reply = async (send) => {
+    await sleep(150, send.signal);
+    return send.signal.aborted
+      ? err({ effect: 'unknown', wasSent: true, reason: 'aborted' })
+      : ok(createReply(['done']));
+  };
+  const stores = createTestStores();
+  stores.upstreams.put('u1', createUpstream('u1'));
+  const started = await startTestNode(stores, transport);
+  await waitUntilReady(started);
+  expect(await (await call(started, '/lookup/1')).text()).toBe('done');
+});
+
 test('a withdrawn key is refused on the next request, also on a kept connection', async () => {
   const stores = createTestStores();
   const transport = createFakeTransport();
--- a/packages/serving/test/support/test-node.ts
+++ b/packages/serving/test/support/test-node.ts
@@ -235,6 +235,7 @@
     seeds,
     stores,
     decoders: {
+      tablesName: 'main',
       tables: (value) => value as ServingTables,
       upstream: (_, value) => (value === null ? undefined : (value as ServingUpstream)),
     },
