--- a/packages/serving/src/object-feed.ts
+++ b/packages/serving/src/object-feed.ts
@@ -3,8 +3,9 @@
 import type { Telemetry } from '@hibiscusbank/core';
 import type { EntryList, EntryStore, StoredEntry, StoreFailure } from './ports.js';
 
-/** Pause after a call that failed, so that an outage is not answered with a storm of calls. */
-const RETRY_PAUSE_MS = 150;
+/** Pauses after calls that failed; they double, so that an outage is not met with a storm of calls. */
+const FIRST_RETRY_MS = 150;
+const MAX_RETRY_MS = 1_200;
 
 export interface FeedOptions {
   readonly kind: string;
@@ -41,9 +42,11 @@
   let changeRevision = 0;
   let answeredAt = -Infinity;
   let isConnected = true;
+  let failures = 0;
 
   const noteAnswer = (): void => {
     answeredAt = monotonicMs();
+    failures = 0;
     if (!isConnected) telemetry.log('storeRegained', { kind, revision });
     isConnected = true;
   };
@@ -51,8 +54,12 @@
   const noteFailure = (failure: StoreFailure): void => {
     if (isConnected) telemetry.log('storeLost', { kind, failure, revision });
     isConnected = false;
+    failures += 1;
   };
 
+  const retryPauseMs = (): number =>
+    Math.min(MAX_RETRY_MS, FIRST_RETRY_MS * 2 ** Math.max(0, failures - 1));
+
   const adopt = (list: EntryList): boolean => {
     if (list.revision <= revision) return false;
     entries = new Map(list.entries.map((entry) => [entry.name, entry]));
@@ -79,7 +86,7 @@
     const result = await store.watch(from, options.waitMs);
     if (result.isErr()) {
       if (result.error !== 'history_lost') noteFailure(result.error);
-      await sleep(result.error === 'history_lost' ? 0 : RETRY_PAUSE_MS);
+      await sleep(result.error === 'history_lost' ? 0 : retryPauseMs());
       return result.error !== 'history_lost';
     }
     noteAnswer();
@@ -112,7 +119,7 @@
       while (!signal.aborted) {
         if (mustList) {
           mustList = !(await readList());
-          if (mustList) await sleep(RETRY_PAUSE_MS, signal);
+          if (mustList) await sleep(retryPauseMs(), signal);
         } else {
           mustList = !(await watch());
           if (!mustList) await sleep(options.pauseMs, signal);
--- a/packages/serving/src/serving-node.ts
+++ b/packages/serving/src/serving-node.ts
@@ -55,6 +55,8 @@
     readonly allowance: number;
     readonly windowMs: number;
   };
+  /** Time after which an upstream that leaves must get nothing more. */
+  readonly leavingBoundMs: number;
   /** Time between SIGTERM and the end of the process. */
   readonly graceMs: number;
   readonly telemetry: Telemetry;
@@ -71,7 +73,8 @@
 const QUIET_PAUSE_MS = 30;
 /** Upstreams write several times a second; changes gather in this pause. */
 const BUSY_WATCH_MS = 1_000;
-const BUSY_PAUSE_MS = 450;
+/** Part of the time in which a leaving upstream must get nothing more. */
+const BUSY_PAUSE_SHARE = 0.3;
 /** The balancer takes a node out after two questions, a second apart, without success. */
 const BALANCER_NOTICE_MS = 2_600;
 /** The process ends this long before it would be killed. */
@@ -110,7 +113,7 @@
       store: stores.upstreams,
       telemetry,
       waitMs: BUSY_WATCH_MS,
-      pauseMs: BUSY_PAUSE_MS,
+      pauseMs: options.leavingBoundMs * BUSY_PAUSE_SHARE,
       onChange: (entries) => {
         directory.setUpstreams(entries);
         const known = directory.upstreams();
--- a/packages/serving/test/support/test-node.ts
+++ b/packages/serving/test/support/test-node.ts
@@ -265,6 +265,7 @@
       });
     },
     repeats: { ratio: 0.2, allowance: 52, windowMs: 10_000 },
+    leavingBoundMs: 2_000,
     graceMs: 8_000,
     telemetry: createTelemetry({ vm: name }, (_, context, text) => {
       events.push(`${text} ${JSON.stringify(context)}`);
