Place runs only up to the memory that they grow into

Cause: an engine grants a reservation by the memory that is free at the moment, while its runs still grow.

--- a/packages/serving/src/placement.ts
+++ b/packages/serving/src/placement.ts
@@ -50,10 +50,11 @@
 const TOKENS_PER_REQUEST = 2_500;
 
 /**
- * Work under way is counted by what it reserves, which is more than it occupies most of the time.
- * Engines within this much of their memory are still asked.
+ * Part of an engine's memory up to which runs are placed. An engine grants a reservation by the memory
+ * that is free at the moment, while the runs it has still grow; without this margin it preempts them,
+ * and their prompts are read again.
  */
-const MEMORY_OVERCOMMIT = 1.1;
+const USABLE_MEMORY_SHARE = 0.97;
 
 interface Scored {
   readonly upstream: KnownUpstream;
@@ -124,7 +125,7 @@
     if (upstream.role !== 'decode') return false;
     const state = context.read(upstream);
     return (
-      state.tokens + need.tokens <= need.memoryTokens * MEMORY_OVERCOMMIT &&
+      state.tokens + need.tokens <= need.memoryTokens * USABLE_MEMORY_SHARE &&
       state.requests < need.slots
     );
   });
