--- a/packages/bench/src/benches/config-edits.ts
+++ b/packages/bench/src/benches/config-edits.ts
@@ -3,8 +3,8 @@
 import { configurationKeys, digestKey } from '@hibiscusbank/configuration';
 import { sleep } from '@hibiscusbank/core';
 import type { KeyDigest, OrganisationId, Random } from '@hibiscusbank/core';
-import { putResolved } from '@hibiscusbank/platform';
-import type { ObjectApi } from '@hibiscusbank/platform';
+import { putResolved } from '@hibiscusbank/object-api';
+import type { ObjectApi } from '@hibiscusbank/object-api';
 import type { PoolEntry } from '@hibiscusbank/settings';
 
 const COUNTER_PREFIX = 'rev-';
--- a/packages/bench/src/benches/zone.ts
+++ b/packages/bench/src/benches/zone.ts
@@ -1,7 +1,7 @@
 /** Takes a data centre out of service under load and returns it. */
 import { configurationKeys } from '@hibiscusbank/configuration';
 import { sleep } from '@hibiscusbank/core';
-import type { ObjectApi } from '@hibiscusbank/platform';
+import type { ObjectApi } from '@hibiscusbank/object-api';
 import { LOAD_DEFAULTS } from '@hibiscusbank/standins';
 import { watchArrivals } from '../harness/arrival-watch.js';
 import { startWindowedLoad } from '../harness/load-windows.js';
--- a/packages/bench/src/soak/fake-platform.ts
+++ b/packages/bench/src/soak/fake-platform.ts
@@ -1,7 +1,7 @@
 /** The object API and the VM list in memory, as one node sees them. */
 import { createError, dataCentreId, sleep, vmId } from '@hibiscusbank/core';
 import type { RouterError } from '@hibiscusbank/core';
-import type { ListedVm, ObjectApi, VmList, WriteOptions } from '@hibiscusbank/platform';
+import type { ListedVm, ObjectApi, VmList, WriteOptions } from '@hibiscusbank/object-api';
 import type { ObjectTable } from '@hibiscusbank/standins';
 import { err, ok, ResultAsync } from 'neverthrow';
 import type { Result } from 'neverthrow';
--- a/packages/cli/src/configuration-reader.ts
+++ b/packages/cli/src/configuration-reader.ts
@@ -2,7 +2,7 @@
 import { createError, unwrap } from '@hibiscusbank/core';
 import { CONFIGURATION_PREFIX, configurationKeys } from '@hibiscusbank/configuration';
 import type { Organisation, TenantKey } from '@hibiscusbank/configuration';
-import type { ObjectApi, StoredObject } from '@hibiscusbank/platform';
+import type { ObjectApi, StoredObject } from '@hibiscusbank/object-api';
 import type { PoolEntry, RouteEntry } from '@hibiscusbank/settings';
 
 /** A value with the version of its object; version 0 stands for an absent object. */
--- a/packages/cli/src/drain-commands.ts
+++ b/packages/cli/src/drain-commands.ts
@@ -2,7 +2,7 @@
 import { createError, unwrap } from '@hibiscusbank/core';
 import { configurationKeys } from '@hibiscusbank/configuration';
 import type { DrainKind } from '@hibiscusbank/configuration';
-import type { ListedVm, VmList } from '@hibiscusbank/platform';
+import type { ListedVm, VmList } from '@hibiscusbank/object-api';
 import { readConfiguration } from './configuration-reader.js';
 import type { StoredConfiguration } from './configuration-reader.js';
 import { describeReadBack, editObject } from './edit-object.js';
--- a/packages/cli/src/edit-object.ts
+++ b/packages/cli/src/edit-object.ts
@@ -1,6 +1,6 @@
 /** Conditional edits of objects, which survive a lost response. */
 import { createError, RouterError, sleep } from '@hibiscusbank/core';
-import type { ObjectApi, StoredObject } from '@hibiscusbank/platform';
+import type { ObjectApi, StoredObject } from '@hibiscusbank/object-api';
 import type { Result } from 'neverthrow';
 
 /** An edit of one object that was read before. */
--- a/packages/cli/test/fakes.ts
+++ b/packages/cli/test/fakes.ts
@@ -1,7 +1,7 @@
 /** A small in-memory object API with faults, and a way to run the command against it. */
 import { createError, dataCentreId, vmId } from '@hibiscusbank/core';
 import type { RouterError } from '@hibiscusbank/core';
-import type { ObjectApi, ObjectChange, StoredObject, WriteOptions } from '@hibiscusbank/platform';
+import type { ObjectApi, ObjectChange, StoredObject, WriteOptions } from '@hibiscusbank/object-api';
 import { errAsync, okAsync } from 'neverthrow';
 import type { ResultAsync } from 'neverthrow';
 import { runApp } from '../src/app.js';
--- a/packages/configuration/src/platform-source.ts
+++ b/packages/configuration/src/platform-source.ts
@@ -1,6 +1,6 @@
 /** Reads configuration from the platform's object API: complete lists and a checked watch. */
 import { createError, unwrap, withTimeout } from '@hibiscusbank/core';
-import type { ObjectApi } from '@hibiscusbank/platform';
+import type { ObjectApi } from '@hibiscusbank/object-api';
 import { CONFIGURATION_PREFIX } from './types.js';
 import type { ConfigurationEntry, Snapshot } from './types.js';
 
--- a/packages/configuration/src/replica.ts
+++ b/packages/configuration/src/replica.ts
@@ -2,7 +2,7 @@
 import { createRandom, hash32 } from '@hibiscusbank/core';
 import type { Random, Telemetry } from '@hibiscusbank/core';
 import type { Membership, PeerNetwork } from '@hibiscusbank/peers';
-import type { ObjectApi } from '@hibiscusbank/platform';
+import type { ObjectApi } from '@hibiscusbank/object-api';
 import { createConfirmation } from './confirmation.js';
 import { createEntryStore } from './entry-store.js';
 import { createReplicaMetrics } from './metrics.js';
--- a/packages/configuration/src/withdrawals.ts
+++ b/packages/configuration/src/withdrawals.ts
@@ -5,7 +5,7 @@
 import { hash32, monotonicMs, repeatUntilAborted, unwrap } from '@hibiscusbank/core';
 import type { DataCentreId, KeyDigest, Random, Telemetry, VmId } from '@hibiscusbank/core';
 import type { Membership, PeerNetwork } from '@hibiscusbank/peers';
-import type { ObjectApi } from '@hibiscusbank/platform';
+import type { ObjectApi } from '@hibiscusbank/object-api';
 import type { ReplicaMetrics } from './metrics.js';
 import { configurationKeys } from './types.js';
 import type { TenantKey } from './types.js';
--- a/packages/configuration/test/fake-object-api.ts
+++ b/packages/configuration/test/fake-object-api.ts
@@ -1,7 +1,7 @@
 /** An object API in memory with outages, stalled watches, lost history and lost responses. */
 import { createError, RouterError, toRouterError } from '@hibiscusbank/core';
 import type { VmId } from '@hibiscusbank/core';
-import type { ChangeBatch, ObjectApi, ObjectChange, StoredObject } from '@hibiscusbank/platform';
+import type { ChangeBatch, ObjectApi, ObjectChange, StoredObject } from '@hibiscusbank/object-api';
 import { ResultAsync } from 'neverthrow';
 
 const LATENCY_MS = 2;
--- a/packages/gateway/src/claims-janitor.ts
+++ b/packages/gateway/src/claims-janitor.ts
@@ -1,7 +1,7 @@
 /** Deletes idempotency claims that are older than their time of validity. */
 import { randomUUID } from 'node:crypto';
 import { repeatUntilAborted, sleep } from '@hibiscusbank/core';
-import type { ObjectApi, StoredObject } from '@hibiscusbank/platform';
+import type { ObjectApi, StoredObject } from '@hibiscusbank/object-api';
 import { CLAIM_PREFIX } from './claims.js';
 import type { ClaimValue } from './claims.js';
 
--- a/packages/gateway/src/claims.ts
+++ b/packages/gateway/src/claims.ts
@@ -2,7 +2,7 @@
 import { createHash, randomUUID } from 'node:crypto';
 import { createError, sleep } from '@hibiscusbank/core';
 import type { OrganisationId, RequestId, RouterError } from '@hibiscusbank/core';
-import type { ObjectApi, StoredObject } from '@hibiscusbank/platform';
+import type { ObjectApi, StoredObject } from '@hibiscusbank/object-api';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 
--- a/packages/gateway/src/types.ts
+++ b/packages/gateway/src/types.ts
@@ -9,7 +9,7 @@
 } from '@hibiscusbank/core';
 import type { ConfigurationReplica } from '@hibiscusbank/configuration';
 import type { EnginePort, UpstreamPort } from '@hibiscusbank/engines';
-import type { ObjectApi } from '@hibiscusbank/platform';
+import type { ObjectApi } from '@hibiscusbank/object-api';
 import type { Quota } from '@hibiscusbank/quota';
 import type { Scheduler } from '@hibiscusbank/scheduler';
 import type { NodeLimits, RouteEntry } from '@hibiscusbank/settings';
--- a/packages/gateway/test/support/fakes.ts
+++ b/packages/gateway/test/support/fakes.ts
@@ -17,7 +17,7 @@
 import type { RouterError } from '@hibiscusbank/core';
 import type { ConfigurationReplica } from '@hibiscusbank/configuration';
 import type { DecodeCall, EnginePort, PrefillCall, TokenEvent } from '@hibiscusbank/engines';
-import type { ObjectApi, StoredObject } from '@hibiscusbank/platform';
+import type { ObjectApi, StoredObject } from '@hibiscusbank/object-api';
 import type { Charge, Quota } from '@hibiscusbank/quota';
 import type { Grant, PlacementRequest, ReleaseReport, Scheduler } from '@hibiscusbank/scheduler';
 import type { RouteEntry } from '@hibiscusbank/settings';
--- a/packages/node/src/cell-leases.ts
+++ b/packages/node/src/cell-leases.ts
@@ -1,8 +1,8 @@
 /** Keeps a lease on the platform for every cell that this node owns. */
 import { repeatUntilAborted } from '@hibiscusbank/core';
 import type { CellId, Telemetry, VmId } from '@hibiscusbank/core';
-import { createLease } from '@hibiscusbank/platform';
-import type { Lease, ObjectApi } from '@hibiscusbank/platform';
+import { createLease } from '@hibiscusbank/object-api';
+import type { Lease, ObjectApi } from '@hibiscusbank/object-api';
 
 const CHECK_INTERVAL_MS = 1_000;
 
--- a/packages/node/src/http-ports.ts
+++ b/packages/node/src/http-ports.ts
@@ -4,7 +4,7 @@
   createHttpObjectApi,
   createHttpVmList,
   createHttpWeightStore,
-} from '@hibiscusbank/platform';
+} from '@hibiscusbank/object-api';
 import type { NodeSettings } from '@hibiscusbank/settings';
 import type { NodePorts } from './types.js';
 
--- a/packages/node/src/types.ts
+++ b/packages/node/src/types.ts
@@ -4,7 +4,7 @@
 import type { EnginePort, UpstreamPort } from '@hibiscusbank/engines';
 import type { Exchange } from '@hibiscusbank/gateway';
 import type { Membership, PeerNetwork, TcpNetworkOptions } from '@hibiscusbank/peers';
-import type { ObjectApi, VmList, WeightStore } from '@hibiscusbank/platform';
+import type { ObjectApi, VmList, WeightStore } from '@hibiscusbank/object-api';
 import type { Quota } from '@hibiscusbank/quota';
 import type { CellScheduler } from '@hibiscusbank/scheduler';
 
--- a/packages/node/test/cell-leases.test.ts
+++ b/packages/node/test/cell-leases.test.ts
@@ -1,6 +1,6 @@
 import { cellId, createError, createTelemetry, vmId } from '@hibiscusbank/core';
 import type { CellId } from '@hibiscusbank/core';
-import type { ObjectApi, StoredObject } from '@hibiscusbank/platform';
+import type { ObjectApi, StoredObject } from '@hibiscusbank/object-api';
 import { errAsync, okAsync } from 'neverthrow';
 import { beforeEach, expect, test, vi } from 'vitest';
 import { createCellLeases } from '../src/cell-leases.js';
--- a/packages/platform/test/lease.test.ts
+++ b/packages/object-api/test/lease.test.ts
@@ -1,5 +1,5 @@
 import { unwrap } from '@hibiscusbank/core';
-import { createLease, putResolved } from '@hibiscusbank/platform';
+import { createLease, putResolved } from '@hibiscusbank/object-api';
 import { afterEach, beforeEach, expect, test, vi } from 'vitest';
 import { createFakeObjectApi, createStore, createTestTelemetry } from './support.js';
 
--- a/packages/platform/test/support.ts
+++ b/packages/object-api/test/support.ts
@@ -1,7 +1,7 @@
 /** A small object API in memory whose calls can fail, lose their response or take effect late. */
 import { createError, createTelemetry, sleep } from '@hibiscusbank/core';
 import type { RouterError, Telemetry } from '@hibiscusbank/core';
-import type { ObjectApi, StoredObject, WriteOptions } from '@hibiscusbank/platform';
+import type { ObjectApi, StoredObject, WriteOptions } from '@hibiscusbank/object-api';
 import { errAsync, ResultAsync } from 'neverthrow';
 
 export interface FakeStore {
--- a/packages/peers/src/list-reader.ts
+++ b/packages/peers/src/list-reader.ts
@@ -1,7 +1,7 @@
 /** Reads the platform's VM list at a rate that keeps its cost constant as the fleet grows. */
 import { monotonicMs, repeatUntilAborted } from '@hibiscusbank/core';
 import type { Telemetry } from '@hibiscusbank/core';
-import type { ListedVm, VmList } from '@hibiscusbank/platform';
+import type { ListedVm, VmList } from '@hibiscusbank/object-api';
 import type { MembershipMetrics } from './metrics.js';
 
 const MIN_LIST_INTERVAL_MS = 2_000;
--- a/packages/peers/src/member-table.ts
+++ b/packages/peers/src/member-table.ts
@@ -1,7 +1,7 @@
 /** What a node knows about the VMs of the fleet, with the rules by which reports replace each other. */
 import { hash32, monotonicMs } from '@hibiscusbank/core';
 import type { DataCentreId, Telemetry, VmId } from '@hibiscusbank/core';
-import type { ListedVm } from '@hibiscusbank/platform';
+import type { ListedVm } from '@hibiscusbank/object-api';
 import type { Member, MemberState } from './types.js';
 
 /** A dead member is kept so that late reports of its life do not bring it back. */
--- a/packages/peers/src/membership.ts
+++ b/packages/peers/src/membership.ts
@@ -1,7 +1,7 @@
 /** Which VMs are live: assembles the list, the failure detector and the probes between data centres. */
 import { createRandom, hash32, monotonicMs } from '@hibiscusbank/core';
 import type { Random, Telemetry } from '@hibiscusbank/core';
-import type { ListedVm, VmList } from '@hibiscusbank/platform';
+import type { ListedVm, VmList } from '@hibiscusbank/object-api';
 import { createDataCentreClock, DATA_CENTRE_TIMEOUT_MS } from './data-centre-ages.js';
 import { createFailureDetector, TICK_INTERVAL_MS } from './failure-detector.js';
 import { createListReader } from './list-reader.js';
--- a/packages/peers/test/fleet.ts
+++ b/packages/peers/test/fleet.ts
@@ -3,7 +3,7 @@
 import type { Telemetry, VmId } from '@hibiscusbank/core';
 import { createMembership, createMemoryHub } from '@hibiscusbank/peers';
 import type { Membership, PeerIdentity, PeerNetwork } from '@hibiscusbank/peers';
-import type { ListedVm, VmList } from '@hibiscusbank/platform';
+import type { ListedVm, VmList } from '@hibiscusbank/object-api';
 import { errAsync, okAsync } from 'neverthrow';
 import { vi } from 'vitest';
 
--- a/packages/quota/src/coordinator.ts
+++ b/packages/quota/src/coordinator.ts
@@ -9,8 +9,8 @@
 import { configurationKeys } from '@hibiscusbank/configuration';
 import type { ConfigurationReplica } from '@hibiscusbank/configuration';
 import type { Membership } from '@hibiscusbank/peers';
-import { putResolved } from '@hibiscusbank/platform';
-import type { ObjectApi } from '@hibiscusbank/platform';
+import { putResolved } from '@hibiscusbank/object-api';
+import type { ObjectApi } from '@hibiscusbank/object-api';
 import { REMOVAL_FENCE_MS } from './limits.js';
 import { isSameSet, parseRing, toValue } from './ring.js';
 import type { Ring, RingValue } from './ring.js';
--- a/packages/quota/src/escrow-quota.ts
+++ b/packages/quota/src/escrow-quota.ts
@@ -4,7 +4,7 @@
 import { configurationKeys } from '@hibiscusbank/configuration';
 import type { ConfigurationReplica } from '@hibiscusbank/configuration';
 import type { Membership, PeerNetwork } from '@hibiscusbank/peers';
-import type { ObjectApi } from '@hibiscusbank/platform';
+import type { ObjectApi } from '@hibiscusbank/object-api';
 import { createAdoption } from './adoption.js';
 import { createBorrowing } from './borrowing.js';
 import type { Lender } from './borrowing.js';
--- a/packages/quota/test/fleet-types.ts
+++ b/packages/quota/test/fleet-types.ts
@@ -4,7 +4,7 @@
 import type { PeerHandler } from '@hibiscusbank/peers';
 import type { Quota } from '@hibiscusbank/quota';
 // eslint-disable-next-line import-x/no-relative-packages -- test support is no part of an interface
-import type { createFakeObjectApi, createTestTelemetry } from '../../platform/test/support.js';
+import type { createFakeObjectApi, createTestTelemetry } from '../../object-api/test/support.js';
 
 export interface TestNode {
   readonly vm: VmId;
--- a/packages/quota/test/support.ts
+++ b/packages/quota/test/support.ts
@@ -22,7 +22,7 @@
   createFakeObjectApi,
   createStore,
   createTestTelemetry,
-} from '../../platform/test/support.js';
+} from '../../object-api/test/support.js';
 
 import { createFakeReplica } from './fake-replica.js';
 import type { Admission, FleetOptions, TestNode } from './fleet-types.js';
--- a/packages/reconciler/src/model-orders.ts
+++ b/packages/reconciler/src/model-orders.ts
@@ -6,7 +6,7 @@
 import { monotonicMs, repeatUntilAborted, sleep } from '@hibiscusbank/core';
 import type { CellId, PoolId, Telemetry, UpstreamId } from '@hibiscusbank/core';
 import type { EngineLoad, EngineOrder, EnginePort } from '@hibiscusbank/engines';
-import type { WeightStore } from '@hibiscusbank/platform';
+import type { WeightStore } from '@hibiscusbank/object-api';
 import type { PoolEntry, UpstreamEntry } from '@hibiscusbank/settings';
 import { createRoleBalance } from './role-balance.js';
 import type { RoleBalance, ScarceRole } from './role-balance.js';
--- a/packages/standins/test/services-http.test.ts
+++ b/packages/standins/test/services-http.test.ts
@@ -1,5 +1,5 @@
 import { dataCentreId, vmId } from '@hibiscusbank/core';
-import { createHttpObjectApi, createHttpVmList } from '@hibiscusbank/platform';
+import { createHttpObjectApi, createHttpVmList } from '@hibiscusbank/object-api';
 import { startObjectApi, startUpstream, startVmList } from '@hibiscusbank/standins';
 import type { StandinServer } from '@hibiscusbank/standins';
 import { afterEach, beforeEach, expect, test, vi } from 'vitest';
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -7,7 +7,7 @@
 export default defineConfig({
   resolve: {
     alias: [
-      { find: /^@hibiscusbank\/([a-z]+)$/, replacement: `${packagesDirectory}$1/src/index.ts` },
+      { find: /^@hibiscusbank\/([a-z-]+)$/, replacement: `${packagesDirectory}$1/src/index.ts` },
     ],
   },
   test: {
