--- a/packages/gateway/src/headers.ts
+++ b/packages/gateway/src/headers.ts
@@ -22,7 +22,7 @@
 const ROUTER_HEADER_PREFIX = 'x-hibiscusbank-';
 
 /** Drops hop-by-hop headers, among them those that `Connection` names. */
-function withoutHopByHop(headers: IncomingHttpHeaders): Record<string, string | string[]> {
+export function withoutHopByHop(headers: IncomingHttpHeaders): Record<string, string | string[]> {
   const named = String(headers.connection ?? '')
     .split(',')
     .map((name) => name.trim().toLowerCase());
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,6 +1,7 @@
 export type { Exchange } from './admission.js';
 export * from './error-response.js';
 export * from './gateway.js';
+export { withoutHopByHop } from './headers.js';
 export { createHttpServer } from './http-server.js';
 export type { HttpServer, HttpServerOptions } from './http-server.js';
 export * from './types.js';
