--- a/packages/core/src/events.ts
+++ b/packages/core/src/events.ts
@@ -110,6 +110,7 @@
     'warn',
     'no upstream of a data centre answers; others are preferred',
   ),
+  runNotSent: define(1824, 'info', 'reservation given back before the request was sent'),
   settingsReloaded: define(1816, 'info', 'settings read again'),
 
   invariantViolated: define(1901, 'error', 'invariant violated'),
--- a/packages/serving/src/serve-stream.ts
+++ b/packages/serving/src/serve-stream.ts
@@ -184,6 +184,12 @@
   };
   if (admitted.signal.aborted || !directory.isUsable(reservation.upstream)) {
     keep();
+    context.telemetry.log('runNotSent', {
+      request: admitted.req.id,
+      upstream: reservation.upstream.id,
+      hasPrompt: handle !== undefined,
+      reason: admitted.signal.aborted ? 'request ended' : 'engine out of service',
+    });
     return { kind: 'not_sent' };
   }
   const end = await decode(context, state, reservation, handle);
--- a/packages/serving/test/serve-stream.test.ts
+++ b/packages/serving/test/serve-stream.test.ts
@@ -138,6 +138,8 @@
   await waitUntil(() => transport.dropped.length === 2);
   expect(transport.dropped.toSorted()).toEqual(['handle', 'reservation']);
   expect(transport.sends).toHaveLength(0);
+  // Without the line, the log does not tell what became of the reservation.
+  await waitUntil(() => started.events.some((line) => line.includes('"reason":"request ended"')));
 });
 
 test('without prefill engines the decode engine reads the prompt itself', async () => {
