Let three nodes of a data centre watch the store; the others take changes from them

Every node watched three kinds of entries, and watches of upstreams return for every heartbeat.

Change: nodes rank the peers of their data centre that report themselves connected, and the first three watch. What a watch brings is compared with what was known; heartbeats are dropped, and changes of consequence go to the data centre in one datagram each. Reports carry the revision up to which a node knows of no other change, so that a node can take a watch over without losing its place. Reports to other data centres are sent less often in a large fleet.

A test found that notices named the watcher's own revision as the one they follow, which nodes that see no heartbeats never reach; they name the last change of consequence now.

--- a/packages/serving/src/directory.ts
+++ b/packages/serving/src/directory.ts
@@ -1,5 +1,5 @@
 /** What a node knows of routes, keys and upstreams, and how a request finds its route. */
-import { dataCentreId, monotonicMs } from '@hibiscusbank/core';
+import { dataCentreId, monotonicMs, upstreamId } from '@hibiscusbank/core';
 import type { DataCentreId, PoolId, Telemetry, UpstreamId } from '@hibiscusbank/core';
 import type { EntryDecoders, StoredEntry } from './ports.js';
 import type {
@@ -152,10 +152,10 @@
       const nextByPool = new Map<PoolId, KnownUpstream[]>();
       const now = monotonicMs();
       for (const [name, entry] of entries) {
-        const decoded = decoders.upstream(name, entry.value);
+        const before = known.get(upstreamId(name));
+        const isSame = before !== undefined && revisions.get(before.id) === entry.revision;
+        const decoded = isSame ? before : decoders.upstream(name, entry.value);
         if (decoded === undefined) continue;
-        const before = known.get(decoded.id);
-        const isSame = before !== undefined && revisions.get(decoded.id) === entry.revision;
         const upstream = isSame ? before : { ...decoded, coldUntil: now + decoded.coldMs };
         if (!isSame) logChange(upstream, before);
         revisions.set(upstream.id, entry.revision);
--- a/packages/serving/src/heard-peers.ts
+++ b/packages/serving/src/heard-peers.ts
@@ -5,8 +5,8 @@
 export interface HeardPeers {
   /** Returns false for a report that is older than the one known. */
   note(report: PeerReport): boolean;
-  /** Drops peers that were silent for longer and returns their names. */
-  dropSilent(limitMs: number): readonly string[];
+  /** Drops peers that were silent for longer than their limit and returns their names. */
+  dropSilent(limitMs: (peer: PeerReport) => number): readonly string[];
   has(node: string): boolean;
   reports(): readonly PeerReport[];
 }
@@ -27,8 +27,10 @@
       return true;
     },
     dropSilent: (limitMs) => {
-      const limit = monotonicMs() - limitMs;
-      const silent = [...heard].filter(([, { at }]) => at < limit).map(([node]) => node);
+      const now = monotonicMs();
+      const silent = [...heard]
+        .filter(([, { at, report }]) => now - at > limitMs(report))
+        .map(([node]) => node);
       for (const node of silent) heard.delete(node);
       return silent;
     },
--- a/packages/serving/src/node-registry.ts
+++ b/packages/serving/src/node-registry.ts
@@ -28,7 +28,8 @@
 function decodePeer({ name, value }: StoredEntry): KnownPeer | undefined {
   const spec = value as Partial<KnownPeer> | null;
   if (typeof spec?.host !== 'string' || typeof spec.port !== 'number') return undefined;
-  return { node: name, host: spec.host, port: spec.port };
+  const { host, port, dataCentre } = spec;
+  return { node: name, host, port, dataCentre };
 }
 
 /** Creates the registry; nothing is called before `run`. */
@@ -38,7 +39,7 @@
   const unreachableSince = new Map<string, number>();
 
   const register = async (): Promise<boolean> => {
-    const value = { host: self.host, port: self.port };
+    const value = { host: self.host, port: self.port, dataCentre: self.dataCentre };
     const current = await store.read(self.node);
     if (current.isErr() && current.error !== 'absent') return false;
     const known = current.isOk() ? decodePeer(current.value) : undefined;
--- a/packages/serving/src/peer-lists.ts
+++ b/packages/serving/src/peer-lists.ts
@@ -72,7 +72,7 @@
 
   const readNewest = async (kind: string, feed: ObjectFeed): Promise<void> => {
     const [peer] = [...reports()].sort(
-      (a, b) => (b.revisions[kind] ?? 0) - (a.revisions[kind] ?? 0),
+      (a, b) => (b.revisions[kind]?.change ?? 0) - (a.revisions[kind]?.change ?? 0),
     );
     if (peer === undefined || reading.has(kind)) return;
     reading.add(kind);
@@ -96,7 +96,7 @@
   const check = (): void => {
     const now = monotonicMs();
     for (const [kind, feed] of Object.entries(feeds)) {
-      const newest = Math.max(0, ...reports().map(({ revisions }) => revisions[kind] ?? 0));
+      const newest = Math.max(0, ...reports().map(({ revisions }) => revisions[kind]?.change ?? 0));
       const known = behind.get(kind);
       if (known !== undefined && feed.revision() >= known.revision) behind.delete(kind);
       if (newest > feed.revision() && !behind.has(kind)) {
--- a/packages/serving/src/peer-reports.ts
+++ b/packages/serving/src/peer-reports.ts
@@ -1,21 +1,21 @@
-/**
- * Load, spending and configuration state that nodes tell each other. Reports are datagrams: each
- * replaces the one before it, so a lost one costs only age, and a silent connection cannot hide.
- */
-import { createSocket } from 'node:dgram';
-import type { Socket } from 'node:dgram';
+/** Load, spending and configuration state that nodes tell each other. */
 import type { Telemetry } from '@hibiscusbank/core';
 import type { HeardPeers } from './heard-peers.js';
+import type { PeerDatagrams } from './peer-datagrams.js';
 import type { WorkReport } from './upstream-loads.js';
 
 /** Time between two reports to each peer while the fleet is small. */
 const REPORT_INTERVAL_MS = 200;
-/** Reports that a node sends in a second at most; a large fleet reports to a peer less often. */
-const MAX_REPORTS_PER_S = 60;
+/**
+ * Reports that a node sends in a second at most to nodes of its data centre, whose engines it mostly
+ * shares, and to all others. In a large fleet each peer hears less often.
+ */
+const MAX_LOCAL_REPORTS_PER_S = 24;
+const MAX_REMOTE_REPORTS_PER_S = 20;
 /** A peer that was silent for this many of its intervals is not reachable. */
-const SILENT_INTERVALS = 6;
-/** Largest report that fits a datagram. */
-const MAX_REPORT_BYTES = 60_000;
+const SILENT_INTERVALS = 4;
+/** Silence that is borne in any case: a lost report or a short pause of a process is no failure. */
+const MIN_SILENCE_MS = 1_200;
 
 const MS_PER_S = 1_000;
 
@@ -24,6 +24,16 @@
   readonly node: string;
   readonly host: string;
   readonly port: number;
+  /** Not known of nodes that only the settings name. */
+  readonly dataCentre?: string | undefined;
+}
+
+/** What a node has of one kind of entries. */
+export interface KnownRevisions {
+  /** Revision of the last change of consequence that it has applied. */
+  readonly change: number;
+  /** Revision up to which it knows of no other change. */
+  readonly upTo: number;
 }
 
 export interface PeerReport extends KnownPeer {
@@ -31,29 +41,44 @@
   readonly startedAt: number;
   /** Counts up, so that reordered reports are dropped. */
   readonly sequence: number;
+  /** Whether the store answers the node. */
+  readonly isConnected: boolean;
   readonly decode: WorkReport;
   readonly prefill: WorkReport;
   readonly spent: Readonly<Record<string, number>>;
-  /** For each kind of entry the revision of the last change that the node has applied. */
-  readonly revisions: Readonly<Record<string, number>>;
+  readonly revisions: Readonly<Record<string, KnownRevisions>>;
 }
 
+export type OwnState = Pick<
+  PeerReport,
+  'isConnected' | 'decode' | 'prefill' | 'spent' | 'revisions'
+>;
+
 export interface PeerReportsOptions {
   readonly self: KnownPeer;
   readonly startedAt: number;
   readonly heard: HeardPeers;
+  readonly datagrams: Pick<PeerDatagrams, 'send'>;
   /** Nodes that reports go to, without this one. */
   readonly peers: () => readonly KnownPeer[];
-  readonly create: () => Pick<PeerReport, 'decode' | 'prefill' | 'spent' | 'revisions'>;
-  readonly receive: (report: PeerReport) => void;
+  readonly create: () => OwnState;
+  readonly onReport: (report: PeerReport) => void;
   /** Called when a peer turned silent; its load no longer counts. */
   readonly onSilent: (node: string) => void;
   readonly telemetry: Telemetry;
 }
 
 export interface PeerReports {
-  start(): Promise<void>;
+  start(): void;
   stop(): void;
+  /** Takes a message of a peer; false for one that is no report. */
+  receive(message: unknown): boolean;
+}
+
+/** Peers that are reported to in turn. */
+interface Rotation {
+  next: number;
+  readonly perSecond: number;
 }
 
 function isReport(value: unknown): value is PeerReport {
@@ -67,78 +92,75 @@
   );
 }
 
+/** Time between two reports to one of `count` peers. */
+export function reportIntervalMs(count: number, perSecond: number): number {
+  return Math.max(REPORT_INTERVAL_MS, (count * MS_PER_S) / perSecond);
+}
+
 /** Creates the exchange of one node. */
 export function createPeerReports(options: PeerReportsOptions): PeerReports {
-  const { self, startedAt, heard, peers, telemetry } = options;
-  let socket: Socket | undefined;
+  const { self, startedAt, heard, datagrams, peers, telemetry } = options;
+  const local: Rotation = { next: 0, perSecond: MAX_LOCAL_REPORTS_PER_S };
+  const remote: Rotation = { next: 0, perSecond: MAX_REMOTE_REPORTS_PER_S };
   let timer: NodeJS.Timeout | undefined;
   let sequence = 0;
-  let next = 0;
 
-  const intervalMs = (): number =>
-    Math.max(REPORT_INTERVAL_MS, (peers().length * MS_PER_S) / MAX_REPORTS_PER_S);
+  const isLocal = (peer: KnownPeer): boolean => peer.dataCentre === self.dataCentre;
+
+  const split = (): { readonly near: KnownPeer[]; readonly far: KnownPeer[] } => {
+    const near: KnownPeer[] = [];
+    const far: KnownPeer[] = [];
+    for (const peer of peers()) (isLocal(peer) ? near : far).push(peer);
+    return { near, far };
+  };
 
-  const dropSilent = (): void => {
-    for (const node of heard.dropSilent(intervalMs() * SILENT_INTERVALS)) {
+  const dropSilent = (near: number, far: number): void => {
+    const nearMs = reportIntervalMs(near, local.perSecond) * SILENT_INTERVALS;
+    const farMs = reportIntervalMs(far, remote.perSecond) * SILENT_INTERVALS;
+    const silent = heard.dropSilent((peer) =>
+      Math.max(MIN_SILENCE_MS, isLocal(peer) ? nearMs : farMs),
+    );
+    for (const node of silent) {
       telemetry.log('peerSilent', { peer: node });
       options.onSilent(node);
     }
   };
 
-  const receive = (message: Buffer): void => {
-    let report: unknown;
-    try {
-      report = JSON.parse(message.toString());
-    } catch (thrown) {
-      telemetry.log('peerReportRejected', { error: String(thrown) });
-      return;
-    }
-    if (!isReport(report) || report.node === self.node) return;
-    const isKnown = heard.has(report.node);
-    if (!heard.note(report)) return;
-    if (!isKnown) telemetry.log('peerHeard', { peer: report.node });
-    options.receive(report);
+  /** The part of the peers whose turn it is. */
+  const take = (all: readonly KnownPeer[], rotation: Rotation): readonly KnownPeer[] => {
+    const intervalMs = reportIntervalMs(all.length, rotation.perSecond);
+    const share = Math.ceil((all.length * REPORT_INTERVAL_MS) / intervalMs);
+    const turn = Array.from(
+      { length: share },
+      (_, index) => all[(rotation.next + index) % all.length],
+    );
+    rotation.next = (rotation.next + share) % Math.max(1, all.length);
+    return turn.filter((peer) => peer !== undefined);
   };
 
   const send = (): void => {
-    dropSilent();
-    const all = peers();
-    const share = Math.ceil((all.length * REPORT_INTERVAL_MS) / intervalMs());
-    if (share === 0) return;
+    const { near, far } = split();
+    dropSilent(near.length, far.length);
+    const turn = [...take(near, local), ...take(far, remote)];
+    if (turn.length === 0) return;
     sequence += 1;
     const report: PeerReport = { ...self, startedAt, sequence, ...options.create() };
-    const bytes = Buffer.from(JSON.stringify(report));
-    if (bytes.length > MAX_REPORT_BYTES) {
-      telemetry.log('peerReportRejected', { error: `the report has ${bytes.length} bytes` });
-      return;
-    }
-    for (let index = 0; index < share; index += 1) {
-      const peer = all[(next + index) % all.length];
-      if (peer !== undefined) socket?.send(bytes, peer.port, peer.host);
-    }
-    next = (next + share) % Math.max(1, all.length);
+    datagrams.send(report, turn);
   };
 
   return {
-    start: () =>
-      new Promise((resolve, reject) => {
-        const opened = createSocket('udp4');
-        socket = opened;
-        opened.once('error', reject);
-        opened.on('message', receive);
-        opened.bind(self.port, self.host, () => {
-          opened.off('error', reject);
-          opened.on('error', (error) => {
-            telemetry.log('peerReportRejected', { error: error.message });
-          });
-          timer = setInterval(send, REPORT_INTERVAL_MS);
-          resolve();
-        });
-      }),
-    stop: () => {
-      clearInterval(timer);
-      socket?.close();
-      socket = undefined;
+    start: () => {
+      timer = setInterval(send, REPORT_INTERVAL_MS);
+    },
+    stop: () => clearInterval(timer),
+    receive: (message) => {
+      if (!isReport(message)) return false;
+      if (message.node === self.node) return true;
+      const isKnown = heard.has(message.node);
+      if (!heard.note(message)) return true;
+      if (!isKnown) telemetry.log('peerHeard', { peer: message.node });
+      options.onReport(message);
+      return true;
     },
   };
 }
--- a/packages/serving/src/serving-node.ts
+++ b/packages/serving/src/serving-node.ts
@@ -7,6 +7,7 @@
 import { RESPONSE_ALREADY_SENT } from '@hono/node-server/utils/response';
 import { Hono } from 'hono';
 import type { Result } from 'neverthrow';
+import { createChangeNotices, isChangeNotice } from './change-notices.js';
 import { createColdLimit } from './cold-limit.js';
 import type { EngineReservation, HttpExchange, ServingContext } from './context.js';
 import { createDirectory } from './directory.js';
@@ -14,17 +15,19 @@
 import type { EngineQueue } from './engine-queue.js';
 import { createHeardPeers } from './heard-peers.js';
 import { createNodeRegistry } from './node-registry.js';
-import { createObjectFeed } from './object-feed.js';
 import { createOrganisationQuota } from './organisation-quota.js';
+import { createPeerDatagrams } from './peer-datagrams.js';
 import { createPeerLists } from './peer-lists.js';
 import { createPeerReports } from './peer-reports.js';
 import type { KnownPeer } from './peer-reports.js';
 import type { EntryDecoders, EntryStore, UpstreamTransport } from './ports.js';
 import { createRepeatBudget } from './repeat-budget.js';
 import { createServingGateway } from './serving-gateway.js';
+import { createStoreFeeds } from './store-feeds.js';
 import type { ServingRequest } from './types.js';
 import { createUpstreamHealth } from './upstream-health.js';
 import { createUpstreamLoads } from './upstream-loads.js';
+import { createWatchDuty } from './watch-duty.js';
 
 interface Address {
   readonly host: string;
@@ -68,13 +71,6 @@
   drain(): Promise<void>;
 }
 
-/** Longest wait of a watch for tables and places out of service. */
-const QUIET_WATCH_MS = 5_000;
-const QUIET_PAUSE_MS = 30;
-/** Upstreams write several times a second; changes gather in this pause. */
-const BUSY_WATCH_MS = 1_000;
-/** Part of the time in which a leaving upstream must get nothing more. */
-const BUSY_PAUSE_SHARE = 0.3;
 /** The balancer takes a node out after two questions, a second apart, without success. */
 const BALANCER_NOTICE_MS = 2_600;
 /** The process ends this long before it would be killed. */
@@ -99,39 +95,11 @@
   const heard = createHeardPeers();
   let draining = false;
 
-  const feeds = {
-    tables: createObjectFeed({
-      kind: 'tables',
-      store: stores.tables,
-      telemetry,
-      waitMs: QUIET_WATCH_MS,
-      pauseMs: QUIET_PAUSE_MS,
-      onChange: directory.setTables,
-    }),
-    upstreams: createObjectFeed({
-      kind: 'upstreams',
-      store: stores.upstreams,
-      telemetry,
-      waitMs: BUSY_WATCH_MS,
-      pauseMs: options.leavingBoundMs * BUSY_PAUSE_SHARE,
-      onChange: (entries) => {
-        directory.setUpstreams(entries);
-        const known = directory.upstreams();
-        transport.retain(known);
-        health.retain(new Set<UpstreamId>(known.map(({ id }) => id)));
-      },
-    }),
-    outOfService: createObjectFeed({
-      kind: 'outOfService',
-      store: stores.outOfService,
-      telemetry,
-      waitMs: QUIET_WATCH_MS,
-      pauseMs: QUIET_PAUSE_MS,
-      onChange: directory.setOutOfService,
-    }),
+  const self: KnownPeer = {
+    node: options.name,
+    dataCentre: options.dataCentre,
+    ...options.peers,
   };
-
-  const self: KnownPeer = { node: options.name, ...options.peers };
   const registry = createNodeRegistry({
     self,
     store: stores.nodes,
@@ -148,6 +116,35 @@
     return [...all.values()];
   };
 
+  const nearReports = () =>
+    heard.reports().filter(({ dataCentre }) => dataCentre === options.dataCentre);
+
+  const duty = createWatchDuty({
+    self: self.node,
+    dataCentre: options.dataCentre,
+    peers: nearReports,
+  });
+
+  const datagrams = createPeerDatagrams({ self, telemetry });
+  const notices = createChangeNotices({ datagrams, recipients: nearReports });
+
+  const feeds = createStoreFeeds({
+    stores,
+    decoders: options.decoders,
+    leavingBoundMs: options.leavingBoundMs,
+    duty,
+    onTables: directory.setTables,
+    onUpstreams: (entries) => {
+      directory.setUpstreams(entries);
+      const known = directory.upstreams();
+      transport.retain(known);
+      health.retain(new Set<UpstreamId>(known.map(({ id }) => id)));
+    },
+    onOutOfService: directory.setOutOfService,
+    onLearned: notices.tell,
+    telemetry,
+  });
+
   const quota = createOrganisationQuota(() => {
     const known = registry.names();
     const group = known.filter((node) => node === self.node || heard.has(node));
@@ -158,17 +155,18 @@
     self,
     startedAt,
     heard,
+    datagrams,
     peers: recipients,
     telemetry,
     create: () => ({
+      isConnected: feeds.isConnected(),
       decode: loads.own(),
       prefill: prefillLoads.own(),
       spent: quota.spent(),
-      revisions: Object.fromEntries(
-        Object.entries(feeds).map(([kind, feed]) => [kind, feed.changeRevision()]),
-      ),
+      revisions: feeds.revisions(),
     }),
-    receive: (report) => {
+    onReport: (report) => {
+      feeds.confirm(report.revisions);
       loads.applyPeer(report.node, report.decode);
       prefillLoads.applyPeer(report.node, report.prefill);
       quota.applyPeer(report.node, report.startedAt, report.spent);
@@ -179,7 +177,14 @@
     },
   });
 
-  const lists = createPeerLists({ feeds, reports: heard.reports, telemetry });
+  const receive = (message: unknown): void => {
+    if (isChangeNotice(message)) feeds.byKind[message.notice]?.apply(message.delta);
+    else if (!reports.receive(message)) {
+      telemetry.log('peerReportRejected', { error: 'a message of unknown form' });
+    }
+  };
+
+  const lists = createPeerLists({ feeds: feeds.byKind, reports: heard.reports, telemetry });
 
   const context: ServingContext = {
     dataCentre: dataCentreId(options.dataCentre),
@@ -226,9 +231,11 @@
   return {
     start: async () => {
       telemetry.log('nodeStarted', { startedAt });
-      await Promise.all([reports.start(), ...servers.map((server) => server.start())]);
+      await Promise.all([datagrams.start(receive), ...servers.map((server) => server.start())]);
+      reports.start();
+      duty.start();
       lists.start();
-      for (const feed of Object.values(feeds)) void feed.run(stopping.signal);
+      feeds.run(stopping.signal);
       void registry.run(stopping.signal);
     },
     drain: async () => {
@@ -243,6 +250,8 @@
       telemetry.log('nodeStopped', { active: gateway.activeRequests() });
       stopping.abort();
       reports.stop();
+      duty.stop();
+      datagrams.stop();
       lists.stop();
       await Promise.all([readiness.kill(), peerServer.kill()]);
     },
--- a/packages/serving/src/upstream-loads.ts
+++ b/packages/serving/src/upstream-loads.ts
@@ -22,13 +22,33 @@
 export function createUpstreamLoads(): UpstreamLoads {
   const own = new Map<string, [number, number]>();
   const peers = new Map<string, WorkReport>();
+  // Sums over peers, kept as reports come, since every placement reads all upstreams.
+  const peerSums = new Map<string, [number, number]>();
 
-  const sum = (upstream: UpstreamId, index: 0 | 1): number => {
-    let total = own.get(upstream)?.[index] ?? 0;
-    for (const report of peers.values()) total += report[upstream]?.[index] ?? 0;
-    return total;
+  const addToSums = (report: WorkReport, sign: 1 | -1): void => {
+    for (const [upstream, [requests, tokens]] of Object.entries(report)) {
+      const total = peerSums.get(upstream) ?? [0, 0];
+      total[0] += sign * requests;
+      total[1] += sign * tokens;
+      if (total[0] === 0 && total[1] === 0) peerSums.delete(upstream);
+      else peerSums.set(upstream, total);
+    }
   };
 
+  const replacePeer = (peer: string, report: WorkReport | undefined): void => {
+    const before = peers.get(peer);
+    if (before !== undefined) addToSums(before, -1);
+    if (report === undefined) {
+      peers.delete(peer);
+      return;
+    }
+    addToSums(report, 1);
+    peers.set(peer, report);
+  };
+
+  const sum = (upstream: UpstreamId, index: 0 | 1): number =>
+    (own.get(upstream)?.[index] ?? 0) + (peerSums.get(upstream)?.[index] ?? 0);
+
   return {
     begin: (upstream, tokens) => {
       const work = own.get(upstream) ?? [0, 0];
@@ -44,14 +64,13 @@
         if (work[0] === 0 && own.get(upstream) === work) own.delete(upstream);
       };
     },
-    own: () => Object.fromEntries(own),
+    own: () =>
+      Object.fromEntries(
+        [...own].map(([upstream, [requests, tokens]]) => [upstream, [requests, tokens]]),
+      ),
     ownRequests: (upstream) => own.get(upstream)?.[0] ?? 0,
-    applyPeer: (peer, report) => {
-      peers.set(peer, report);
-    },
-    dropPeer: (peer) => {
-      peers.delete(peer);
-    },
+    applyPeer: replacePeer,
+    dropPeer: (peer) => replacePeer(peer, undefined),
     requests: (upstream) => sum(upstream, 0),
     tokens: (upstream) => sum(upstream, 1),
   };
--- a/packages/serving/test/object-feed.test.ts
+++ b/packages/serving/test/object-feed.test.ts
@@ -3,6 +3,7 @@
 import { afterEach, beforeEach, expect, test, vi } from 'vitest';
 import { createObjectFeed } from '../src/object-feed.js';
 import { createFakeStore } from './support/fake-store.js';
+import type { EntryDelta, FeedOptions } from '../src/object-feed.js';
 import type { FakeStore } from './support/fake-store.js';
 
 beforeEach(() => {
@@ -13,7 +14,7 @@
   vi.useRealTimers();
 });
 
-function createFeed(store: FakeStore, changes: string[][]) {
+function createFeed(store: FakeStore, changes: string[][], more: Partial<FeedOptions> = {}) {
   return createObjectFeed({
     kind: 'upstreams',
     store,
@@ -21,9 +22,18 @@
     waitMs: 1_000,
     pauseMs: 600,
     onChange: (entries) => changes.push([...entries.keys()]),
+    ...more,
   });
 }
 
+const added = (name: string, revision: number) => ({ name, revision, value: 1, isRemoved: false });
+const removed = (name: string, revision: number) => ({
+  name,
+  revision,
+  value: null,
+  isRemoved: true,
+});
+
 test('a change arrives within the pause between two watches', async () => {
   const store = createFakeStore();
   const changes: string[][] = [];
@@ -82,3 +92,77 @@
   expect(feed.adopt({ entries: [], revision: 3 })).toBe(false);
   expect(changes).toEqual([['a']]);
 });
+
+// Heartbeats of a hundred upstreams would otherwise be sent to every node of a data centre.
+test('a change that leaves what matters as it was is neither passed on nor counted', async () => {
+  const store = createFakeStore();
+  const changes: string[][] = [];
+  const learned: EntryDelta[] = [];
+  const stop = new AbortController();
+  store.put('one', { state: 'ready', beat: 1 });
+  const feed = createFeed(store, changes, {
+    digest: ({ value }) => (value as { state: string }).state,
+    onLearned: (delta) => learned.push(delta),
+  });
+  void feed.run(stop.signal);
+  await vi.advanceTimersByTimeAsync(700);
+  const before = feed.changeRevision();
+  store.put('one', { state: 'ready', beat: 2 });
+  await vi.advanceTimersByTimeAsync(1_400);
+  expect([changes.length, learned.length, feed.changeRevision()]).toEqual([1, 0, before]);
+  store.put('one', { state: 'draining', beat: 3 });
+  await vi.advanceTimersByTimeAsync(1_400);
+  expect(changes).toHaveLength(2);
+  expect(learned).toEqual([
+    expect.objectContaining({ changes: [expect.objectContaining({ name: 'one' })] }),
+  ]);
+  stop.abort();
+});
+
+test('a change that a peer passed on is applied where nothing before it is missing', () => {
+  const changes: string[][] = [];
+  const feed = createFeed(createFakeStore(), changes);
+  feed.adopt({ entries: [{ name: 'a', revision: 5, value: 1 }], revision: 9 });
+  expect(feed.apply({ after: 9, revision: 11, changes: [added('b', 11)] })).toBe(true);
+  expect(feed.apply({ after: 12, revision: 13, changes: [removed('a', 13)] })).toBe(false);
+  expect(changes.at(-1)).toEqual(['a', 'b']);
+  // The peer knows of no change between 11 and 12, so nothing is missing any more.
+  feed.confirm(11, 12);
+  expect(feed.apply({ after: 12, revision: 13, changes: [removed('a', 13)] })).toBe(true);
+  expect(changes.at(-1)).toEqual(['b']);
+});
+
+test('what a peer knows does not cover a change that is missing here', () => {
+  const feed = createFeed(createFakeStore(), []);
+  feed.adopt({ entries: [], revision: 9 });
+  feed.confirm(10, 20);
+  expect(feed.revision()).toBe(9);
+});
+
+// A removed upstream that comes back with a late message would be sent requests.
+test('an entry that was removed does not come back with an older change', () => {
+  const changes: string[][] = [];
+  const feed = createFeed(createFakeStore(), changes);
+  feed.adopt({ entries: [{ name: 'a', revision: 5, value: 1 }], revision: 9 });
+  feed.apply({ after: 9, revision: 12, changes: [removed('a', 12)] });
+  feed.apply({ after: 4, revision: 13, changes: [added('a', 5), added('b', 13)] });
+  expect(changes.at(-1)).toEqual(['b']);
+});
+
+test('a list that came after a lost history is passed on as what changed in it', async () => {
+  const store = createFakeStore();
+  const learned: EntryDelta[] = [];
+  const stop = new AbortController();
+  store.put('one', 1);
+  store.put('two', 2);
+  void createFeed(store, [], { onLearned: (delta) => learned.push(delta) }).run(stop.signal);
+  await vi.advanceTimersByTimeAsync(700);
+  store.compact();
+  store.drop('one');
+  store.compact();
+  await vi.advanceTimersByTimeAsync(1_300);
+  expect(learned.flatMap(({ changes }) => changes)).toEqual([
+    expect.objectContaining({ name: 'one', isRemoved: true }),
+  ]);
+  stop.abort();
+});
