Report less often in a large fleet; wake idle processes less

Change: from nine nodes on, a node sends 12 reports a second to its data centre and 6 to others; smaller fleets report as before. Lists are compared when a report arrives, watch duty with each round of reports, and the log's timer runs only while lines wait. A node that is behind reads from any of the peers that know most, so that not all read from the same one.

--- a/packages/serving/src/line-log.ts
+++ b/packages/serving/src/line-log.ts
@@ -21,8 +21,10 @@
 export function createLineLog(stream: LineStream): LineLog {
   let lines: string[] = [];
   let dropped = 0;
+  // Runs only while lines wait, so that an idle process is not woken.
+  let timer: NodeJS.Timeout | undefined;
 
-  const flush = (): void => {
+  const write = (): void => {
     if (lines.length === 0 || stream.writableNeedDrain) return;
     if (dropped > 0) {
       lines.push(
@@ -34,10 +36,16 @@
     lines = [];
   };
 
-  setInterval(flush, FLUSH_INTERVAL_MS).unref();
+  const startTimer = (): void => {
+    timer ??= setTimeout(() => {
+      timer = undefined;
+      write();
+      if (lines.length > 0) startTimer();
+    }, FLUSH_INTERVAL_MS).unref();
+  };
 
   return {
-    flush,
+    flush: write,
     sink: (level, context, text) => {
       if (QUIET_LEVELS.has(level)) return;
       if (lines.length >= MAX_LINES) {
@@ -45,6 +53,7 @@
         return;
       }
       lines.push(JSON.stringify({ time: Date.now(), level, text, ...context }));
+      startTimer();
     },
   };
 }
--- a/packages/serving/src/peer-lists.ts
+++ b/packages/serving/src/peer-lists.ts
@@ -14,7 +14,8 @@
 
 /** Time in which the node's own watch usually brings what a peer reports. */
 const OWN_WATCH_MS = 450;
-const CHECK_INTERVAL_MS = 150;
+/** Pause before a list that could not be read is asked for again. */
+const RETRY_PAUSE_MS = 150;
 const READ_TIMEOUT_MS = 1_000;
 const PATH = '/lists/';
 
@@ -22,13 +23,16 @@
   readonly feeds: Readonly<Record<string, ObjectFeed>>;
   /** Last reports of the reachable peers. */
   readonly reports: () => readonly PeerReport[];
+  /** Picks one of the peers that know most, 0 to 1. */
+  readonly random: () => number;
   readonly telemetry: Telemetry;
 }
 
 export interface PeerLists {
   /** Answers peers. */
   readonly app: Hono;
-  start(): void;
+  /** Compares what peers reported with what is known; called when that changed. */
+  check(): void;
   stop(): void;
 }
 
@@ -38,11 +42,20 @@
 }
 
 /** Creates the exchange of lists of one node. */
-export function createPeerLists({ feeds, reports, telemetry }: PeerListsOptions): PeerLists {
+export function createPeerLists(options: PeerListsOptions): PeerLists {
+  const { feeds, reports, random, telemetry } = options;
   const agent = new Agent({ keepAliveTimeout: 1_000 });
   const behind = new Map<string, { readonly revision: number; readonly since: number }>();
   const reading = new Set<string>();
   let timer: NodeJS.Timeout | undefined;
+  let check = (): void => {};
+
+  const checkIn = (ms: number): void => {
+    timer ??= setTimeout(() => {
+      timer = undefined;
+      check();
+    }, ms);
+  };
 
   const app = new Hono();
   app.get(`${PATH}:kind`, (c) => {
@@ -53,8 +66,8 @@
   const read = async (peer: PeerReport, kind: string): Promise<EntryList | undefined> => {
     const limit = startTimeLimit(new AbortController().signal, READ_TIMEOUT_MS);
     const dispatcher = agent.compose(
-      (dispatch) => (options, handler) =>
-        dispatch({ ...options, origin: `http://${peer.host}:${peer.port}` }, handler),
+      (dispatch) => (dispatched, handler) =>
+        dispatch({ ...dispatched, origin: `http://${peer.host}:${peer.port}` }, handler),
     );
     const result = await openExchange(dispatcher, {
       method: 'GET',
@@ -71,9 +84,10 @@
   };
 
   const readNewest = async (kind: string, feed: ObjectFeed): Promise<void> => {
-    const [peer] = [...reports()].sort(
-      (a, b) => (b.revisions[kind]?.change ?? 0) - (a.revisions[kind]?.change ?? 0),
-    );
+    const known = reports();
+    const newest = Math.max(0, ...known.map(({ revisions }) => revisions[kind]?.change ?? 0));
+    const able = known.filter(({ revisions }) => revisions[kind]?.change === newest);
+    const peer = able[Math.floor(random() * able.length)];
     if (peer === undefined || reading.has(kind)) return;
     reading.add(kind);
     try {
@@ -90,10 +104,11 @@
       telemetry.log('peerListRead', { kind, peer: peer.node, error: String(thrown) });
     } finally {
       reading.delete(kind);
+      checkIn(RETRY_PAUSE_MS);
     }
   };
 
-  const check = (): void => {
+  check = (): void => {
     const now = monotonicMs();
     for (const [kind, feed] of Object.entries(feeds)) {
       const newest = Math.max(0, ...reports().map(({ revisions }) => revisions[kind]?.change ?? 0));
@@ -103,17 +118,19 @@
         behind.set(kind, { revision: newest, since: now });
       }
       const lag = behind.get(kind);
-      if (lag !== undefined && now - lag.since >= OWN_WATCH_MS) void readNewest(kind, feed);
+      if (lag === undefined) continue;
+      const restMs = lag.since + OWN_WATCH_MS - now;
+      if (restMs > 0) checkIn(restMs);
+      else void readNewest(kind, feed);
     }
   };
 
   return {
     app,
-    start: () => {
-      timer = setInterval(check, CHECK_INTERVAL_MS);
-    },
+    check: () => check(),
     stop: () => {
-      clearInterval(timer);
+      check = () => {};
+      clearTimeout(timer);
       void agent.close();
     },
   };
--- a/packages/serving/src/peer-reports.ts
+++ b/packages/serving/src/peer-reports.ts
@@ -6,12 +6,14 @@
 
 /** Time between two reports to each peer while the fleet is small. */
 const REPORT_INTERVAL_MS = 200;
+/** Nodes up to which every peer gets a report each interval. */
+const SMALL_FLEET = 8;
 /**
- * Reports that a node sends in a second at most to nodes of its data centre, whose engines it mostly
- * shares, and to all others. In a large fleet each peer hears less often.
+ * Reports that a node of a larger fleet sends in a second: to nodes of its data centre, whose engines
+ * it mostly shares, and to all others. Each report wakes a process, so their number must not grow.
  */
-const MAX_LOCAL_REPORTS_PER_S = 24;
-const MAX_REMOTE_REPORTS_PER_S = 20;
+const LOCAL_REPORTS_PER_S = 12;
+const REMOTE_REPORTS_PER_S = 6;
 /** A peer that was silent for this many of its intervals is not reachable. */
 const SILENT_INTERVALS = 4;
 /** Silence that is borne in any case: a lost report or a short pause of a process is no failure. */
@@ -63,6 +65,8 @@
   readonly peers: () => readonly KnownPeer[];
   readonly create: () => OwnState;
   readonly onReport: (report: PeerReport) => void;
+  /** Called before each round of reports. */
+  readonly onTick: () => void;
   /** Called when a peer turned silent; its load no longer counts. */
   readonly onSilent: (node: string) => void;
   readonly telemetry: Telemetry;
@@ -78,6 +82,7 @@
 /** Peers that are reported to in turn. */
 interface Rotation {
   next: number;
+  /** Reports a second in a large fleet. */
   readonly perSecond: number;
 }
 
@@ -92,16 +97,17 @@
   );
 }
 
-/** Time between two reports to one of `count` peers. */
-export function reportIntervalMs(count: number, perSecond: number): number {
+/** Time between two reports to one of `count` peers in a fleet of `fleet` nodes. */
+export function reportIntervalMs(count: number, perSecond: number, fleet: number): number {
+  if (fleet <= SMALL_FLEET) return REPORT_INTERVAL_MS;
   return Math.max(REPORT_INTERVAL_MS, (count * MS_PER_S) / perSecond);
 }
 
 /** Creates the exchange of one node. */
 export function createPeerReports(options: PeerReportsOptions): PeerReports {
   const { self, startedAt, heard, datagrams, peers, telemetry } = options;
-  const local: Rotation = { next: 0, perSecond: MAX_LOCAL_REPORTS_PER_S };
-  const remote: Rotation = { next: 0, perSecond: MAX_REMOTE_REPORTS_PER_S };
+  const local: Rotation = { next: 0, perSecond: LOCAL_REPORTS_PER_S };
+  const remote: Rotation = { next: 0, perSecond: REMOTE_REPORTS_PER_S };
   let timer: NodeJS.Timeout | undefined;
   let sequence = 0;
 
@@ -115,8 +121,9 @@
   };
 
   const dropSilent = (near: number, far: number): void => {
-    const nearMs = reportIntervalMs(near, local.perSecond) * SILENT_INTERVALS;
-    const farMs = reportIntervalMs(far, remote.perSecond) * SILENT_INTERVALS;
+    const fleet = near + far + 1;
+    const nearMs = reportIntervalMs(near, local.perSecond, fleet) * SILENT_INTERVALS;
+    const farMs = reportIntervalMs(far, remote.perSecond, fleet) * SILENT_INTERVALS;
     const silent = heard.dropSilent((peer) =>
       Math.max(MIN_SILENCE_MS, isLocal(peer) ? nearMs : farMs),
     );
@@ -127,8 +134,12 @@
   };
 
   /** The part of the peers whose turn it is. */
-  const take = (all: readonly KnownPeer[], rotation: Rotation): readonly KnownPeer[] => {
-    const intervalMs = reportIntervalMs(all.length, rotation.perSecond);
+  const take = (
+    all: readonly KnownPeer[],
+    rotation: Rotation,
+    fleet: number,
+  ): readonly KnownPeer[] => {
+    const intervalMs = reportIntervalMs(all.length, rotation.perSecond, fleet);
     const share = Math.ceil((all.length * REPORT_INTERVAL_MS) / intervalMs);
     const turn = Array.from(
       { length: share },
@@ -139,9 +150,11 @@
   };
 
   const send = (): void => {
+    options.onTick();
     const { near, far } = split();
     dropSilent(near.length, far.length);
-    const turn = [...take(near, local), ...take(far, remote)];
+    const fleet = near.length + far.length + 1;
+    const turn = [...take(near, local, fleet), ...take(far, remote, fleet)];
     if (turn.length === 0) return;
     sequence += 1;
     const report: PeerReport = { ...self, startedAt, sequence, ...options.create() };
--- a/packages/serving/src/serving-node.ts
+++ b/packages/serving/src/serving-node.ts
@@ -151,6 +151,13 @@
     return group.length / known.length;
   });
 
+  const lists = createPeerLists({
+    feeds: feeds.byKind,
+    reports: heard.reports,
+    random: Math.random,
+    telemetry,
+  });
+
   const reports = createPeerReports({
     self,
     startedAt,
@@ -165,8 +172,10 @@
       spent: quota.spent(),
       revisions: feeds.revisions(),
     }),
+    onTick: duty.check,
     onReport: (report) => {
       feeds.confirm(report.revisions);
+      lists.check();
       loads.applyPeer(report.node, report.decode);
       prefillLoads.applyPeer(report.node, report.prefill);
       quota.applyPeer(report.node, report.startedAt, report.spent);
@@ -184,8 +193,6 @@
     }
   };
 
-  const lists = createPeerLists({ feeds: feeds.byKind, reports: heard.reports, telemetry });
-
   const context: ServingContext = {
     dataCentre: dataCentreId(options.dataCentre),
     directory,
@@ -233,8 +240,6 @@
       telemetry.log('nodeStarted', { startedAt });
       await Promise.all([datagrams.start(receive), ...servers.map((server) => server.start())]);
       reports.start();
-      duty.start();
-      lists.start();
       feeds.run(stopping.signal);
       void registry.run(stopping.signal);
     },
--- a/packages/serving/src/watch-duty.ts
+++ b/packages/serving/src/watch-duty.ts
@@ -11,8 +11,6 @@
  * still passes changes on.
  */
 const WATCHERS = 3;
-/** Pause between two looks at the peers. */
-const CHECK_INTERVAL_MS = 300;
 
 export interface DutyPeer {
   readonly node: string;
@@ -31,7 +29,8 @@
   isOnDuty(): boolean;
   /** Resolves when this node is to watch. */
   whenOnDuty(signal: AbortSignal): Promise<void>;
-  start(): void;
+  /** Looks at the peers again. */
+  check(): void;
   stop(): void;
 }
 
@@ -45,7 +44,6 @@
 /** Creates the duty of one node. */
 export function createWatchDuty({ self, dataCentre, peers }: WatchDutyOptions): WatchDuty {
   let waiting: (() => void)[] = [];
-  let timer: NodeJS.Timeout | undefined;
   const isOnDuty = (): boolean => isWatcher(self, dataCentre, peers());
   const waitForCheck = (): Promise<void> =>
     new Promise((resolve) => {
@@ -61,14 +59,9 @@
     whenOnDuty: async (signal) => {
       while (!signal.aborted && !isOnDuty()) await waitForCheck();
     },
-    start: () => {
-      timer = setInterval(() => {
-        if (waiting.length > 0 && isOnDuty()) wake();
-      }, CHECK_INTERVAL_MS);
-    },
-    stop: () => {
-      clearInterval(timer);
-      wake();
+    check: () => {
+      if (waiting.length > 0 && isOnDuty()) wake();
     },
+    stop: wake,
   };
 }
--- a/packages/serving/test/watch-duty.test.ts
+++ b/packages/serving/test/watch-duty.test.ts
@@ -83,7 +83,7 @@
       dataCentre: 'a',
       peers: () => known(index),
     });
-    duty.start();
+    setInterval(duty.check, 200);
     feeds.push(
       createObjectFeed({
         kind: 'upstreams',
