Change roles of engines by measured load, one node ordering under a lease in the store

Change: nodes report the time that prefill engines spent on prompts. The first node by hash takes a lease in the store and orders prefill engines to decode while the rest stays half idle; without load a quarter of the engines reads prompts. The other direction needs ten seconds of too many prompts. Nodes are told at once which engines are changing and send them nothing. The lease is the one of packages/object-api, kept in an entry; its holder now also looks at the time of day, since a suspended VM's monotonic clock stands still.

--- a/packages/object-api/src/lease.ts
+++ b/packages/object-api/src/lease.ts
@@ -13,7 +13,7 @@
 const RETRY_INTERVAL_MS = 1_000;
 
 export interface LeaseOptions {
-  readonly objectApi: ObjectApi;
+  readonly objectApi: Pick<ObjectApi, 'get' | 'put'>;
   /** Key of the lease's object, such as `leases/<cell>`. */
   readonly key: string;
   /** Name of the holder, such as its VM id. A restarted process counts as another holder. */
@@ -49,6 +49,14 @@
   readonly version: number;
   readonly validUntil: number;
   readonly renewedAt: number;
+  /** Time of day at which it lapses; a suspended VM's monotonic clock does not count the pause. */
+  readonly lapsesAt: number;
+}
+
+/** When a write was sent, by both clocks. */
+interface SentTime {
+  readonly monotonic: number;
+  readonly timeOfDay: number;
 }
 
 interface LeaseState {
@@ -68,7 +76,7 @@
   const metrics = createLeaseMetrics(telemetry.metrics.registry);
   const instance = randomUUID();
   /** Times at which writes were sent, by write id: a write can take effect after its timeout. */
-  const sentAt = new Map<string, number>();
+  const sentAt = new Map<string, SentTime>();
   const state: LeaseState = {
     held: undefined,
     seen: undefined,
@@ -80,7 +88,8 @@
 
   const epochIfHeld = (): number | undefined => {
     const { held } = state;
-    return held !== undefined && monotonicMs() < held.validUntil ? held.epoch : undefined;
+    if (held === undefined || monotonicMs() >= held.validUntil) return undefined;
+    return Date.now() < held.lapsesAt ? held.epoch : undefined;
   };
 
   const announce = (): void => {
@@ -105,17 +114,20 @@
     state.held = {
       epoch: value.epoch ?? object.version,
       version: object.version,
-      validUntil: sent + LEASE_VALIDITY_MS - SAFETY_MARGIN_MS,
-      renewedAt: sent,
+      validUntil: sent.monotonic + LEASE_VALIDITY_MS - SAFETY_MARGIN_MS,
+      lapsesAt: sent.timeOfDay + LEASE_VALIDITY_MS - SAFETY_MARGIN_MS,
+      renewedAt: sent.monotonic,
     };
-    for (const [writeId, time] of sentAt) if (time < sent) sentAt.delete(writeId);
+    for (const [writeId, time] of sentAt) {
+      if (time.monotonic < sent.monotonic) sentAt.delete(writeId);
+    }
   };
 
   const write = async (epoch: number | null, ifVersion: number | undefined): Promise<boolean> => {
     const writeId = randomUUID();
     const value: LeaseValue = { holder, instance, epoch, released: false };
     const condition = ifVersion === undefined ? { ifAbsent: true } : { ifVersion };
-    sentAt.set(writeId, monotonicMs());
+    sentAt.set(writeId, { monotonic: monotonicMs(), timeOfDay: Date.now() });
     const result = await objectApi.put(key, value, { ...condition, writeId });
     result.match(adopt, reportFailure);
     return result.isOk();
--- a/packages/object-api/test/lease.test.ts
+++ b/packages/object-api/test/lease.test.ts
@@ -117,3 +117,16 @@
   const again = await putResolved(api, 'k', 1, { ifAbsent: true, writeId: 'w1' });
   expect(again.isOk()).toBe(true);
 });
+
+// The monotonic clock stands still while a VM is suspended; its holder would act beside the next one.
+test('a holder whose VM was suspended does not act before it has renewed', async () => {
+  const store = createStore();
+  const { lease } = createHolder(store, 'a');
+  lease.acquire();
+  await vi.advanceTimersByTimeAsync(0);
+  const epoch = lease.epochIfHeld();
+  vi.setSystemTime(Date.now() + 20_000);
+  expect(lease.epochIfHeld()).toBeUndefined();
+  await vi.advanceTimersByTimeAsync(6_000);
+  expect(lease.epochIfHeld()).toBeGreaterThan(epoch ?? Infinity);
+});
--- a/packages/serving/src/context.ts
+++ b/packages/serving/src/context.ts
@@ -14,8 +14,15 @@
 import type { OrganisationQuota } from './organisation-quota.js';
 import type { ChoiceContext } from './placement.js';
 import type { UpstreamTransport } from './ports.js';
+import type { PrefillWork } from './prefill-work.js';
 import type { RepeatBudget } from './repeat-budget.js';
-import type { ServingOrganisation, ServingPool, ServingRequest, ServingRoute } from './types.js';
+import type {
+  ServingOrganisation,
+  ServingPool,
+  ServingRequest,
+  ServingRoute,
+  ServingUpstream,
+} from './types.js';
 import type { UpstreamHealth } from './upstream-health.js';
 import type { UpstreamLoads } from './upstream-loads.js';
 
@@ -32,6 +39,9 @@
   /** Prompts that prefill engines read. */
   readonly prefillLoads: UpstreamLoads;
   readonly queue: (pool: PoolId) => EngineQueue<EngineReservation>;
+  readonly prefillWork: Pick<PrefillWork, 'record'>;
+  /** Whether an engine was ordered to another role and still has the old one. */
+  readonly isChanging: (upstream: ServingUpstream) => boolean;
   readonly telemetry: Telemetry;
   readonly random: () => number;
 }
@@ -94,6 +104,7 @@
         failureRate: health.failureRate(upstream.id),
         isEjected: health.isEjected(upstream),
         isCold,
+        isChanging: context.isChanging(upstream),
         hasRoom: !isCold || cold.hasRoom(upstream.id, pool.coldRequestsPerSecond),
       };
     },
--- a/packages/serving/src/peer-reports.ts
+++ b/packages/serving/src/peer-reports.ts
@@ -2,6 +2,8 @@
 import type { Telemetry } from '@hibiscusbank/core';
 import type { HeardPeers } from './heard-peers.js';
 import type { PeerDatagrams } from './peer-datagrams.js';
+import type { PrefillTotals } from './prefill-work.js';
+import type { EngineRole } from './types.js';
 import type { WorkReport } from './upstream-loads.js';
 
 /** Time between two reports to each peer while the fleet is small. */
@@ -38,6 +40,9 @@
   readonly upTo: number;
 }
 
+/** Engines that were ordered to another role, with the role that they had. */
+export type RoleChanges = Readonly<Record<string, EngineRole>>;
+
 export interface PeerReport extends KnownPeer {
   /** Unix milliseconds of the node's start. */
   readonly startedAt: number;
@@ -49,11 +54,13 @@
   readonly prefill: WorkReport;
   readonly spent: Readonly<Record<string, number>>;
   readonly revisions: Readonly<Record<string, KnownRevisions>>;
+  readonly changing: RoleChanges;
+  readonly prefillMs: PrefillTotals;
 }
 
 export type OwnState = Pick<
   PeerReport,
-  'isConnected' | 'decode' | 'prefill' | 'spent' | 'revisions'
+  'isConnected' | 'decode' | 'prefill' | 'spent' | 'revisions' | 'changing' | 'prefillMs'
 >;
 
 export interface PeerReportsOptions {
@@ -75,6 +82,8 @@
 export interface PeerReports {
   start(): void;
   stop(): void;
+  /** Reports to all peers at once. */
+  sendToAll(): void;
   /** Takes a message of a peer; false for one that is no report. */
   receive(message: unknown): boolean;
 }
@@ -149,16 +158,19 @@
     return turn.filter((peer) => peer !== undefined);
   };
 
+  const sendTo = (recipients: readonly KnownPeer[]): void => {
+    if (recipients.length === 0) return;
+    sequence += 1;
+    const report: PeerReport = { ...self, startedAt, sequence, ...options.create() };
+    datagrams.send(report, recipients);
+  };
+
   const send = (): void => {
     options.onTick();
     const { near, far } = split();
     dropSilent(near.length, far.length);
     const fleet = near.length + far.length + 1;
-    const turn = [...take(near, local, fleet), ...take(far, remote, fleet)];
-    if (turn.length === 0) return;
-    sequence += 1;
-    const report: PeerReport = { ...self, startedAt, sequence, ...options.create() };
-    datagrams.send(report, turn);
+    sendTo([...take(near, local, fleet), ...take(far, remote, fleet)]);
   };
 
   return {
@@ -166,6 +178,7 @@
       timer = setInterval(send, REPORT_INTERVAL_MS);
     },
     stop: () => clearInterval(timer),
+    sendToAll: () => sendTo(peers()),
     receive: (message) => {
       if (!isReport(message)) return false;
       if (message.node === self.node) return true;
--- a/packages/serving/src/placement.ts
+++ b/packages/serving/src/placement.ts
@@ -14,6 +14,8 @@
   /** Cold upstreams take work only while their limit leaves room. */
   readonly hasRoom: boolean;
   readonly isCold: boolean;
+  /** An engine that changes its role takes no work of the old one. */
+  readonly isChanging: boolean;
 }
 
 export interface ChoiceContext {
@@ -72,7 +74,7 @@
   for (const upstream of candidates) {
     if (context.excluded.has(upstream.id)) continue;
     const state = context.read(upstream);
-    if (!state.hasRoom) continue;
+    if (!state.hasRoom || state.isChanging) continue;
     const score =
       scoreLoad(state) +
       state.failureRate * FAILURE_PENALTY +
--- a/packages/serving/src/ports.ts
+++ b/packages/serving/src/ports.ts
@@ -1,6 +1,7 @@
 /** Ports that an adapter implements for the services around a node. */
 import type { Result } from 'neverthrow';
 import type {
+  EngineRole,
   KvHandle,
   SendFailure,
   ServingTables,
@@ -9,6 +10,16 @@
   UpstreamSend,
 } from './types.js';
 
+export interface RoleOrder {
+  readonly upstream: ServingUpstream;
+  readonly role: EngineRole;
+  /** Node that orders. */
+  readonly holder: string;
+  /** Fencing token; a later holder has a higher one. */
+  readonly epoch: number;
+  readonly signal: AbortSignal;
+}
+
 /** Calls to upstreams. Every call ends within the time limit of its signal. */
 export interface UpstreamTransport {
   /** Sends a request; an answer that says that it did not run is a failure `not_run`. */
@@ -24,6 +35,8 @@
   ): Promise<Result<string, SendFailure>>;
   /** Gives a reservation back that no request uses. */
   dropReservation(upstream: ServingUpstream, reservation: string): void;
+  /** Orders an engine to another role; running work ends first. */
+  orderRole(order: RoleOrder): Promise<Result<void, SendFailure>>;
   /** Frees a KV cache that nobody fetches. */
   dropHandle(handle: KvHandle): void;
   /** Closes connections to upstreams that are gone. */
--- a/packages/serving/src/prefill-prompt.ts
+++ b/packages/serving/src/prefill-prompt.ts
@@ -50,6 +50,7 @@
     release();
     if (result.isOk()) {
       health.recordSuccess(upstream);
+      context.prefillWork.record(pool.id, monotonicMs() - startedAt);
       telemetry.log('promptRead', {
         request: req.id,
         upstream: upstream.id,
--- /dev/null
+++ b/packages/serving/src/prefill-work.ts
@@ -0,0 +1,62 @@
+/**
+ * Time that prefill engines spent on prompts, over all nodes. Only prompts that were read count: calls
+ * to an engine that fell silent last long and are no work.
+ */
+import { monotonicMs } from '@hibiscusbank/core';
+import type { PoolId } from '@hibiscusbank/core';
+
+/** Milliseconds of each pool. */
+export type PrefillTotals = Readonly<Record<string, number>>;
+
+export interface PrefillWork {
+  /** Counts one prompt that took `ms`. */
+  record(pool: PoolId, ms: number): void;
+  /** Totals of this node since its start. */
+  own(): PrefillTotals;
+  /** Applies the totals of another node; `epoch` changes when that node restarts. */
+  applyPeer(peer: string, epoch: number, totals: PrefillTotals): void;
+  /** Mean number of prompts under way in a pool since the call before. */
+  takeMean(pool: PoolId): number;
+}
+
+interface Pending {
+  ms: number;
+  since: number;
+}
+
+/** Creates an empty count. */
+export function createPrefillWork(): PrefillWork {
+  const peers = new Map<string, { readonly epoch: number; readonly totals: PrefillTotals }>();
+  const own = new Map<string, number>();
+  const pending = new Map<string, Pending>();
+
+  const add = (pool: string, ms: number): void => {
+    const known = pending.get(pool) ?? { ms: 0, since: monotonicMs() };
+    known.ms += ms;
+    pending.set(pool, known);
+  };
+
+  return {
+    record: (pool, ms) => {
+      own.set(pool, (own.get(pool) ?? 0) + ms);
+      add(pool, ms);
+    },
+    own: () => Object.fromEntries([...own].map(([pool, ms]) => [pool, Math.round(ms)])),
+    applyPeer: (peer, epoch, totals) => {
+      const known = peers.get(peer);
+      peers.set(peer, { epoch, totals });
+      // What a node did before this one heard of it is not recent work.
+      if (known?.epoch !== epoch) return;
+      for (const [pool, ms] of Object.entries(totals)) {
+        add(pool, Math.max(0, ms - (known.totals[pool] ?? 0)));
+      }
+    },
+    takeMean: (pool) => {
+      const now = monotonicMs();
+      const known = pending.get(pool);
+      pending.set(pool, { ms: 0, since: now });
+      if (known === undefined || now <= known.since) return 0;
+      return known.ms / (now - known.since);
+    },
+  };
+}
--- /dev/null
+++ b/packages/serving/src/role-orders.ts
@@ -0,0 +1,171 @@
+/**
+ * Orders engines to change role. One node orders at a time, under a lease in the store whose epoch is
+ * the fencing token; a node that only believes to be first finds the lease taken.
+ */
+import { monotonicMs, pickByRendezvous, sleep } from '@hibiscusbank/core';
+import type { PoolId, Telemetry, UpstreamId } from '@hibiscusbank/core';
+import type { Lease } from '@hibiscusbank/object-api';
+import type { ChangingRoles } from './changing-roles.js';
+import type { Directory, KnownUpstream } from './directory.js';
+import type { UpstreamTransport } from './ports.js';
+import type { PrefillWork } from './prefill-work.js';
+import { isPrefillShort, planRoles } from './role-plan.js';
+import type { RoleEngine, RoleView } from './role-plan.js';
+import type { EngineTraits } from './types.js';
+import type { UpstreamLoads } from './upstream-loads.js';
+
+const OBSERVE_INTERVAL_MS = 500;
+/** Time constant of the means that decide; about the length of a run, so that single runs do not. */
+const MEAN_TIME_MS = 4_000;
+/** Time in which a process that started hears its peers. */
+const START_MS = 3_000;
+/** Pause between the orders of two holders, and before those for a pool that has just appeared. */
+const SETTLE_MS = 4_000;
+/** Pause between two rounds of orders to a pool: an engine needs about this long to change. */
+const ROUND_MS = 6_000;
+const ORDER_TIMEOUT_MS = 1_000;
+/** Key of the lease, also that by which nodes rank who tries to take it. */
+const LEASE_KEY = 'engine-roles';
+
+export interface RoleOrdersOptions {
+  readonly self: string;
+  /** Nodes that were heard from lately, without this one. */
+  readonly peers: () => readonly string[];
+  /** Whether this node hears most of the registered ones; a node that does not leaves orders to others. */
+  readonly hearsMost: () => boolean;
+  readonly changing: ChangingRoles;
+  readonly lease: (key: string) => Lease;
+  readonly directory: Directory;
+  readonly loads: UpstreamLoads;
+  readonly prefillLoads: UpstreamLoads;
+  readonly prefillWork: Pick<PrefillWork, 'takeMean'>;
+  readonly transport: UpstreamTransport;
+  /** Called after orders, so that peers learn at once which engines are changing. */
+  readonly onOrdered: () => void;
+  readonly telemetry: Telemetry;
+}
+
+export interface RoleOrders {
+  run(signal: AbortSignal): Promise<void>;
+  release(): Promise<void>;
+}
+
+interface PoolMeans {
+  prompts: number;
+  tokens: number;
+  since: number;
+  /** When prompts became too many; `undefined` while they are not. */
+  shortSince: number | undefined;
+  orderedAt: number;
+}
+
+/** Creates the orders of one node; nothing is called before `run`. */
+export function createRoleOrders(options: RoleOrdersOptions): RoleOrders {
+  const { self, directory, changing, loads, prefillLoads, transport, telemetry } = options;
+  const lease = options.lease(LEASE_KEY);
+  const means = new Map<PoolId, PoolMeans>();
+  let startedAt = Infinity;
+  let contends = false;
+  let heldSince: number | undefined;
+
+  const observe = (pool: PoolId, engines: readonly KnownUpstream[]): PoolMeans => {
+    const now = monotonicMs();
+    const sum = (role: string, read: (id: UpstreamId) => number): number =>
+      engines.reduce((total, engine) => total + (engine.role === role ? read(engine.id) : 0), 0);
+    const prompts = options.prefillWork.takeMean(pool);
+    const tokens = sum('decode', loads.tokens);
+    const known = means.get(pool) ?? {
+      prompts,
+      tokens,
+      since: now,
+      shortSince: undefined,
+      orderedAt: -Infinity,
+    };
+    const weight = OBSERVE_INTERVAL_MS / MEAN_TIME_MS;
+    known.prompts += (prompts - known.prompts) * weight;
+    known.tokens += (tokens - known.tokens) * weight;
+    const prefill = engines.filter(({ role }) => role === 'prefill').length;
+    known.shortSince = isPrefillShort(known.prompts, prefill)
+      ? (known.shortSince ?? now)
+      : undefined;
+    means.set(pool, known);
+    return known;
+  };
+
+  const toView = (
+    engines: readonly KnownUpstream[],
+    mean: PoolMeans,
+    { memoryTokens }: EngineTraits,
+  ): RoleView => ({
+    prompts: mean.prompts,
+    tokens: mean.tokens,
+    memoryTokens,
+    shortMs: mean.shortSince === undefined ? 0 : monotonicMs() - mean.shortSince,
+    engines: engines.flatMap((engine): RoleEngine[] => {
+      const { id, dataCentre, role } = engine;
+      if (role === undefined || changing.isResting(id) || changing.isChanging(engine)) return [];
+      return [{ id, dataCentre, role, tokens: loads.tokens(id) + prefillLoads.tokens(id) }];
+    }),
+  });
+
+  const order = async (engines: readonly KnownUpstream[], view: RoleView): Promise<boolean> => {
+    const changes = planRoles(view);
+    for (const { engine, role } of changes) {
+      const upstream = engines.find(({ id }) => id === engine.id);
+      const epoch = lease.epochIfHeld();
+      if (upstream === undefined || epoch === undefined) return false;
+      changing.recordOrder(upstream.id, engine.role);
+      const signal = AbortSignal.timeout(ORDER_TIMEOUT_MS);
+      const sent = await transport.orderRole({ upstream, role, holder: self, epoch, signal });
+      telemetry.log(sent.isOk() ? 'engineOrdered' : 'engineOrderFailed', {
+        upstream: upstream.id,
+        order: 'role',
+        detail: role,
+        epoch,
+        prompts: Number(view.prompts.toFixed(2)),
+        tokens: Math.round(view.tokens),
+        error: sent.isErr() ? sent.error.reason : undefined,
+      });
+    }
+    if (changes.length > 0) options.onOrdered();
+    return changes.length > 0;
+  };
+
+  /** Only the first of the nodes tries to take the lease, and only while it is first. */
+  const contend = (): boolean => {
+    const isFirst =
+      monotonicMs() - startedAt >= START_MS &&
+      options.hearsMost() &&
+      pickByRendezvous(LEASE_KEY, [self, ...options.peers()]) === self;
+    if (isFirst && !contends) lease.acquire();
+    if (!isFirst && contends) void lease.release();
+    contends = isFirst;
+    if (lease.epochIfHeld() === undefined) heldSince = undefined;
+    else heldSince ??= monotonicMs();
+    return heldSince !== undefined && monotonicMs() - heldSince >= SETTLE_MS;
+  };
+
+  const step = async (): Promise<void> => {
+    const mayOrder = contend();
+    for (const { id, engine: traits } of directory.tables()?.pools ?? []) {
+      if (traits === undefined) continue;
+      const engines = directory.usable(id);
+      const mean = observe(id, engines);
+      const now = monotonicMs();
+      const isDue = now - mean.since >= SETTLE_MS && now - mean.orderedAt >= ROUND_MS;
+      if (!mayOrder || !isDue) continue;
+      if (await order(engines, toView(engines, mean, traits))) mean.orderedAt = monotonicMs();
+    }
+  };
+
+  return {
+    release: () => lease.release(),
+    run: async (signal) => {
+      startedAt = monotonicMs();
+      while (!signal.aborted) {
+        await step();
+        await sleep(OBSERVE_INTERVAL_MS, signal);
+      }
+    },
+  };
+}
--- a/packages/serving/src/serving-node.ts
+++ b/packages/serving/src/serving-node.ts
@@ -3,17 +3,20 @@
 import type { PoolId, RouterError, Telemetry, UpstreamId } from '@hibiscusbank/core';
 import { createHttpServer } from '@hibiscusbank/gateway';
 import type { HttpServer } from '@hibiscusbank/gateway';
+import { createLease } from '@hibiscusbank/object-api';
 import type { HttpBindings } from '@hono/node-server';
 import { RESPONSE_ALREADY_SENT } from '@hono/node-server/utils/response';
 import { Hono } from 'hono';
 import type { Result } from 'neverthrow';
 import { createChangeNotices, isChangeNotice } from './change-notices.js';
+import { createChangingRoles } from './changing-roles.js';
 import { createColdLimit } from './cold-limit.js';
 import type { EngineReservation, HttpExchange, ServingContext } from './context.js';
 import { createDirectory } from './directory.js';
 import { createEngineQueue } from './engine-queue.js';
 import type { EngineQueue } from './engine-queue.js';
 import { createHeardPeers } from './heard-peers.js';
+import { createLeaseObjects } from './lease-objects.js';
 import { createNodeRegistry } from './node-registry.js';
 import { createOrganisationQuota } from './organisation-quota.js';
 import { createPeerDatagrams } from './peer-datagrams.js';
@@ -21,7 +24,9 @@
 import { createPeerReports } from './peer-reports.js';
 import type { KnownPeer } from './peer-reports.js';
 import type { EntryDecoders, EntryStore, UpstreamTransport } from './ports.js';
+import { createPrefillWork } from './prefill-work.js';
 import { createRepeatBudget } from './repeat-budget.js';
+import { createRoleOrders } from './role-orders.js';
 import { createServingGateway } from './serving-gateway.js';
 import { createStoreFeeds } from './store-feeds.js';
 import type { ServingRequest } from './types.js';
@@ -49,6 +54,7 @@
     readonly upstreams: EntryStore;
     readonly outOfService: EntryStore;
     readonly nodes: EntryStore;
+    readonly leases: EntryStore;
   };
   readonly decoders: EntryDecoders;
   readonly transport: UpstreamTransport;
@@ -89,10 +95,12 @@
   const stopping = new AbortController();
   const loads = createUpstreamLoads();
   const prefillLoads = createUpstreamLoads();
+  const prefillWork = createPrefillWork();
   const health = createUpstreamHealth(telemetry);
   const directory = createDirectory(options.decoders, telemetry);
   const queues = new Map<PoolId, EngineQueue<EngineReservation>>();
   const heard = createHeardPeers();
+  const changing = createChangingRoles(heard.reports);
   let draining = false;
 
   const self: KnownPeer = {
@@ -171,6 +179,8 @@
       prefill: prefillLoads.own(),
       spent: quota.spent(),
       revisions: feeds.revisions(),
+      changing: changing.own(),
+      prefillMs: prefillWork.own(),
     }),
     onTick: duty.check,
     onReport: (report) => {
@@ -178,6 +188,7 @@
       lists.check();
       loads.applyPeer(report.node, report.decode);
       prefillLoads.applyPeer(report.node, report.prefill);
+      prefillWork.applyPeer(report.node, report.startedAt, report.prefillMs);
       quota.applyPeer(report.node, report.startedAt, report.spent);
     },
     onSilent: (node) => {
@@ -193,6 +204,27 @@
     }
   };
 
+  const roleOrders = createRoleOrders({
+    self: self.node,
+    peers: () => heard.reports().map(({ node }) => node),
+    hearsMost: () => (heard.reports().length + 1) * 2 > registry.names().length,
+    changing,
+    lease: (key) =>
+      createLease({
+        objectApi: createLeaseObjects(stores.leases),
+        key,
+        holder: self.node,
+        telemetry,
+      }),
+    directory,
+    loads,
+    prefillLoads,
+    prefillWork,
+    transport,
+    onOrdered: reports.sendToAll,
+    telemetry,
+  });
+
   const context: ServingContext = {
     dataCentre: dataCentreId(options.dataCentre),
     directory,
@@ -203,6 +235,8 @@
     health,
     loads,
     prefillLoads,
+    prefillWork,
+    isChanging: changing.isChanging,
     queue: (pool) => {
       let queue = queues.get(pool);
       if (queue === undefined) {
@@ -242,11 +276,13 @@
       reports.start();
       feeds.run(stopping.signal);
       void registry.run(stopping.signal);
+      void roleOrders.run(stopping.signal);
     },
     drain: async () => {
       if (draining) return;
       draining = true;
       telemetry.log('nodeDraining', { active: gateway.activeRequests() });
+      void roleOrders.release();
       gateway.beginDrain();
       const deadline = monotonicMs() + options.graceMs - GRACE_MARGIN_MS;
       await sleep(BALANCER_NOTICE_MS);
--- a/packages/serving/test/decisions.test.ts
+++ b/packages/serving/test/decisions.test.ts
@@ -140,6 +140,7 @@
   isEjected: false,
   hasRoom: true,
   isCold: false,
+  isChanging: false,
 };
 
 function context(states: Readonly<Record<string, Partial<CandidateState>>>): ChoiceContext {
--- a/packages/serving/test/placement-load.test.ts
+++ b/packages/serving/test/placement-load.test.ts
@@ -67,6 +67,7 @@
             isEjected: false,
             hasRoom: true,
             isCold: false,
+            isChanging: false,
           };
         },
       },
--- a/packages/serving/test/support/test-node.ts
+++ b/packages/serving/test/support/test-node.ts
@@ -12,6 +12,7 @@
 import { createServingNode } from '../../src/index.js';
 import type {
   HttpExchange,
+  RoleOrder,
   ServingNode,
   ServingRoute,
   ServingTables,
@@ -142,6 +143,8 @@
   readonly sends: UpstreamSend[];
   readonly prefills: UpstreamSend[];
   readonly dropped: string[];
+  readonly orders: RoleOrder[];
+  orderReply: UpstreamTransport['orderRole'];
   reply: (send: UpstreamSend) => ReturnType<UpstreamTransport['send']>;
   reserveReply: UpstreamTransport['reserve'];
   prefillReply: UpstreamTransport['prefill'];
@@ -153,6 +156,8 @@
     sends: [],
     prefills: [],
     dropped: [],
+    orders: [],
+    orderReply: async () => ok(undefined),
     reply: async () => ok(createReply(['done'])),
     reserveReply: async () => ok('reservation'),
     prefillReply: async (send) => ok({ upstream: send.upstream, handle: 'handle' }),
@@ -165,6 +170,10 @@
       return transport.prefillReply(send);
     },
     reserve: (...args) => transport.reserveReply(...args),
+    orderRole: (order) => {
+      transport.orders.push(order);
+      return transport.orderReply(order);
+    },
     dropReservation: (_, reservation) => transport.dropped.push(reservation),
     dropHandle: ({ handle }) => transport.dropped.push(handle),
     retain: () => {},
@@ -189,6 +198,7 @@
   readonly upstreams: FakeStore;
   readonly outOfService: FakeStore;
   readonly nodes: FakeStore;
+  readonly leases: FakeStore;
 }
 
 export function createTestStores(tables = createTables()): TestStores {
@@ -197,6 +207,7 @@
     upstreams: createFakeStore(),
     outOfService: createFakeStore(),
     nodes: createFakeStore(),
+    leases: createFakeStore(),
   };
   stores.tables.put('main', tables);
   return stores;
