--- a/packages/serving/src/role-orders.ts
+++ b/packages/serving/src/role-orders.ts
@@ -7,6 +7,7 @@
 import type { Lease } from '@hibiscusbank/object-api';
 import type { ChangingRoles } from './changing-roles.js';
 import type { Directory, KnownUpstream } from './directory.js';
+import { SMALL_FLEET } from './peer-reports.js';
 import type { UpstreamTransport } from './ports.js';
 import type { PrefillWork } from './prefill-work.js';
 import { isPrefillShort, planRoles } from './role-plan.js';
@@ -66,6 +67,8 @@
   const means = new Map<PoolId, PoolMeans>();
   let startedAt = Infinity;
   let contends = false;
+  // A node that stops leaves the lease to others at once.
+  let isReleased = false;
   let heldSince: number | undefined;
 
   const observe = (pool: PoolId, engines: readonly KnownUpstream[]): PoolMeans => {
@@ -100,6 +103,7 @@
     prompts: mean.prompts,
     tokens: mean.tokens,
     memoryTokens,
+    isLoadKnown: options.peers().length < SMALL_FLEET,
     shortMs: mean.shortSince === undefined ? 0 : monotonicMs() - mean.shortSince,
     engines: engines.flatMap((engine): RoleEngine[] => {
       const { id, dataCentre, role } = engine;
@@ -134,6 +138,7 @@
   /** Only the first of the nodes tries to take the lease, and only while it is first. */
   const contend = (): boolean => {
     const isFirst =
+      !isReleased &&
       monotonicMs() - startedAt >= START_MS &&
       options.hearsMost() &&
       pickByRendezvous(LEASE_KEY, [self, ...options.peers()]) === self;
@@ -159,7 +164,10 @@
   };
 
   return {
-    release: () => lease.release(),
+    release: () => {
+      isReleased = true;
+      return lease.release();
+    },
     run: async (signal) => {
       startedAt = monotonicMs();
       while (!signal.aborted) {
--- a/packages/serving/test/role-orders.test.ts
+++ b/packages/serving/test/role-orders.test.ts
@@ -9,6 +9,7 @@
 import type { PeerReport } from '../src/peer-reports.js';
 import { createPrefillWork } from '../src/prefill-work.js';
 import { createRoleOrders } from '../src/role-orders.js';
+import type { RoleOrders } from '../src/role-orders.js';
 import { createUpstreamLoads } from '../src/upstream-loads.js';
 import { createFakeStore } from './support/fake-store.js';
 import {
@@ -58,6 +59,8 @@
 
 interface Site {
   readonly orders: RoleOrder[];
+  /** Has a node give the lease up while it runs on, as in a drain. */
+  readonly drain: (name: string) => Promise<void> | undefined;
   readonly stop: (name: string) => void;
 }
 
@@ -65,6 +68,7 @@
 function startNodes(names: readonly string[], leases: EntryStore): Site {
   const orders: RoleOrder[] = [];
   const alive = new Map<string, AbortController>();
+  const running = new Map<string, RoleOrders>();
   for (const self of names) {
     const transport = createFakeTransport();
     transport.orderReply = async (order) => {
@@ -95,10 +99,12 @@
       onOrdered: () => {},
       telemetry,
     });
+    running.set(self, roleOrders);
     void roleOrders.run(stop.signal);
   }
   return {
     orders,
+    drain: (name) => running.get(name)?.release(),
     stop: (name) => {
       alive.get(name)?.abort();
       alive.delete(name);
@@ -128,6 +134,16 @@
   expect(performance.now() - endedAt).toBeGreaterThanOrEqual(3_000);
 });
 
+// A node that took the lease while it drains would keep the others from ordering after its end.
+test('a node that drains does not take the lease again', async () => {
+  const store = createFakeStore();
+  const names = ['n1', 'n2', 'n3', 'n4'];
+  const { drain } = startNodes(names, store);
+  await Promise.all(names.map(drain));
+  await vi.advanceTimersByTimeAsync(10_000);
+  expect((await store.list())._unsafeUnwrap().entries).toEqual([]);
+});
+
 test('a node that hears few of the registered nodes orders nothing', async () => {
   const site = startNodes(['n1', 'n2', 'n3', 'n4'], createFakeStore());
   for (const name of ['n2', 'n3', 'n4']) site.stop(name);
--- a/packages/serving/test/role-plan.test.ts
+++ b/packages/serving/test/role-plan.test.ts
@@ -14,7 +14,8 @@
   const engines = Array.from({ length: prefill + decode }, (_, index) =>
     createEngine(index, index < prefill ? 'prefill' : 'decode'),
   );
-  return { engines, prompts: 0, tokens: 0, memoryTokens: MEMORY, shortMs: 0, ...change };
+  const idle = { prompts: 0, tokens: 0, memoryTokens: MEMORY, shortMs: 0, isLoadKnown: true };
+  return { engines, ...idle, ...change };
 }
 
 const roles = (view: RoleView): EngineRole[] => planRoles(view).map(({ role }) => role);
@@ -32,6 +33,13 @@
   expect(roles(createView(3, 5, { prompts: 1.4, tokens }))).toEqual([]);
 });
 
+// 69 nodes on half as many prefill engines made one prompt in twenty wait for half a second.
+test("a fleet whose nodes do not know each other's choices spares fewer prefill engines", () => {
+  const load = { prompts: 7.3, tokens: 73 * MEMORY * 0.6 };
+  expect(roles(createView(25, 73, load))).not.toEqual([]);
+  expect(roles(createView(25, 73, { ...load, isLoadKnown: false }))).toEqual([]);
+});
+
 test('the last engine of a role stays', () => {
   expect(roles(createView(1, 7))).toEqual([]);
   expect(roles(createView(1, 1, { prompts: 9, shortMs: 60_000 }))).toEqual([]);
