--- a/packages/serving/src/role-orders.ts
+++ b/packages/serving/src/role-orders.ts
@@ -102,6 +102,7 @@
     prompts: mean.prompts,
     tokens: mean.tokens,
     memoryTokens,
+    total: engines.length,
     shortMs: mean.shortSince === undefined ? 0 : monotonicMs() - mean.shortSince,
     engines: engines.flatMap((engine): RoleEngine[] => {
       const { id, dataCentre, role } = engine;
--- a/packages/serving/src/role-plan.ts
+++ b/packages/serving/src/role-plan.ts
@@ -41,6 +41,8 @@
 export interface RoleView {
   /** Engines that may get work and are not changing. */
   readonly engines: readonly RoleEngine[];
+  /** Engines that may get work, with those that are changing. */
+  readonly total: number;
   /** Mean number of prompts under way at all prefill engines. */
   readonly prompts: number;
   /** Mean tokens in use on all decode engines. */
@@ -80,10 +82,10 @@
 
 /** Prefill engines that the load needs. */
 function countNeeded(view: RoleView, decode: number): number {
-  const { engines, prompts, tokens, memoryTokens } = view;
+  const { total, prompts, tokens, memoryTokens } = view;
   const measured = Math.max(1, Math.ceil(prompts / MAX_PREFILL_LOAD));
   if (tokens >= decode * memoryTokens * MIN_MEMORY_USE) return measured;
-  return Math.max(measured, Math.ceil(engines.length * IDLE_PREFILL_SHARE));
+  return Math.max(measured, Math.ceil(total * IDLE_PREFILL_SHARE));
 }
 
 /** Engines that should change now; none while the split fits the load. */
--- a/packages/serving/test/role-plan.test.ts
+++ b/packages/serving/test/role-plan.test.ts
@@ -15,7 +15,7 @@
     createEngine(index, index < prefill ? 'prefill' : 'decode'),
   );
   const idle = { prompts: 0, tokens: 0, memoryTokens: MEMORY, shortMs: 0 };
-  return { engines, ...idle, ...change };
+  return { engines, total: engines.length, ...idle, ...change };
 }
 
 const roles = (view: RoleView): EngineRole[] => planRoles(view).map(({ role }) => role);
@@ -26,6 +26,12 @@
   expect(roles(createView(4, 9))).toEqual([]);
 });
 
+// The engine that was changing was left out of the count, so that a further one was spared after it.
+test('an engine that is changing counts among those of which a quarter reads prompts', () => {
+  expect(roles(createView(5, 8))).toEqual(['decode']);
+  expect(roles(createView(4, 8, { total: 13 }))).toEqual([]);
+});
+
 test('prefill engines that the measured prompts need are kept', () => {
   const tokens = 5 * MEMORY * 0.6;
   expect(roles(createView(3, 5, { prompts: 0.9, tokens }))).toEqual(['decode']);
