--- a/packages/serving/src/peer-datagrams.ts
+++ b/packages/serving/src/peer-datagrams.ts
@@ -1,6 +1,6 @@
 /**
  * Messages between nodes, one datagram each. A lost one costs only age: reports replace each other,
- * and a change that was missed is read from a peer. A silent connection cannot hide either.
+ * and a change that was missed is read from a peer. There is no connection that could fall silent.
  */
 import { createSocket } from 'node:dgram';
 import type { Socket } from 'node:dgram';
@@ -31,12 +31,12 @@
 export function createPeerDatagrams({ self, telemetry }: PeerDatagramsOptions): PeerDatagrams {
   let socket: Socket | undefined;
 
-  const decode = (bytes: Buffer): unknown => {
+  /** Messages come from the network; one that cannot be taken must not end the process. */
+  const take = (bytes: Buffer, receive: (message: unknown) => void): void => {
     try {
-      return JSON.parse(bytes.toString());
+      receive(JSON.parse(bytes.toString()));
     } catch (thrown) {
       telemetry.log('peerReportRejected', { error: String(thrown) });
-      return undefined;
     }
   };
 
@@ -46,10 +46,7 @@
         const opened = createSocket('udp4');
         socket = opened;
         opened.once('error', reject);
-        opened.on('message', (bytes) => {
-          const message = decode(bytes);
-          if (message !== undefined) receive(message);
-        });
+        opened.on('message', (bytes) => take(bytes, receive));
         opened.bind(self.port, self.host, () => {
           opened.off('error', reject);
           opened.on('error', (error) => {
