Serve a cut-off data centre at once, and use the operator's quota tolerance while engines are free

Each request of the cut-off data centre reserved a local engine and then waited for the time-outs of two prefill calls (1.5 s and about 0.9 s), missed its target, and often its reservation had expired. Ejected engines were used as a last resort although the decode engine can prefill itself, and a failing upstream got any number of probes at a time. Change: data centres none of whose nodes reports are known within 1.2 to 6 s (8 mean report gaps of the whole data centre, not the time-out of single peers); their engines are used last. Prompts never go to ejected prefill engines; one call at a time probes a failing upstream.

Change: buckets may be overdrawn by half of the tolerance of the settings while the pool has free capacity and nothing waits; refill of nodes out of contact is withheld and pays for their spending when they return; buckets fill from the start of the process, and no bucket is overdrawn in the first window. Each of these fails a test when taken out. Ruled out: a larger burst for everybody, which serves heavy organisations also while others wait.

--- a/packages/core/src/events.ts
+++ b/packages/core/src/events.ts
@@ -127,6 +127,12 @@
     'no upstream of a data centre answers; others are preferred',
   ),
   runNotSent: defineEvent(1824, 'info', 'reservation released before the request was sent'),
+  dataCentreUnheard: defineEvent(
+    1825,
+    'warn',
+    'no node of a data centre reports; its engines are used last',
+  ),
+  dataCentreHeard: defineEvent(1826, 'info', 'nodes of a data centre report again'),
   settingsReloaded: defineEvent(1816, 'info', 'settings reloaded'),
 
   invariantViolated: defineEvent(1901, 'error', 'invariant violated'),
--- a/packages/serving/src/context.ts
+++ b/packages/serving/src/context.ts
@@ -40,6 +40,8 @@
   readonly prefillLoads: UpstreamLoads;
   readonly queueFor: (pool: PoolId) => EngineQueue<EngineReservation>;
   readonly prefillWork: Pick<PrefillWork, 'record'>;
+  /** Whether the nodes of a data centre no longer report, so that it may be cut off. */
+  readonly isDataCentreSilent: (dataCentre: DataCentreId) => boolean;
   /** Whether an engine was ordered to change role and still has its previous role. */
   readonly isChanging: (upstream: ServingUpstream) => boolean;
   readonly telemetry: Telemetry;
@@ -102,7 +104,10 @@
         requests: loads.requests(upstream.id),
         tokens: loads.tokens(upstream.id),
         failureRate: health.failureRate(upstream.id),
-        isEjected: health.isEjected(upstream),
+        // Plain upstreams have no other place to run, so only failed calls count against them.
+        isEjected:
+          health.isEjected(upstream) ||
+          (upstream.role !== undefined && context.isDataCentreSilent(upstream.dataCentre)),
         isCold,
         isChanging: context.isChanging(upstream),
         isWithinColdLimit: !isCold || coldLimit.isAllowed(upstream.id, pool.coldRequestsPerSecond),
--- a/packages/serving/src/peer-reports.ts
+++ b/packages/serving/src/peer-reports.ts
@@ -113,6 +113,11 @@
   return Math.max(REPORT_INTERVAL_MS, (count * MS_PER_S) / perSecond);
 }
 
+/** Returns the interval between two reports of a node to one of its `count` remote peers. */
+export function remoteReportIntervalMs(count: number, fleet: number): number {
+  return reportIntervalMs(count, REMOTE_REPORTS_PER_S, fleet);
+}
+
 /** Creates the exchange of reports of one node. */
 export function createPeerReports(options: PeerReportsOptions): PeerReports {
   const { self, startedAt, livePeers, datagrams, peers, telemetry } = options;
--- a/packages/serving/src/placement.ts
+++ b/packages/serving/src/placement.ts
@@ -71,12 +71,17 @@
   readonly score: number;
 }
 
+interface Ranking {
+  readonly usable: KnownUpstream[];
+  readonly ejected: KnownUpstream[];
+}
+
 function rankCandidates(
   candidates: readonly KnownUpstream[],
   context: PlacementContext,
   scoreLoad: (state: CandidateState) => number,
   preferred: { readonly dataCentre: DataCentreId; readonly bonus: number },
-): KnownUpstream[] {
+): Ranking {
   const scored: ScoredUpstream[] = [];
   const ejected: ScoredUpstream[] = [];
   for (const upstream of candidates) {
@@ -93,11 +98,16 @@
   }
   scored.sort((a, b) => a.score - b.score);
   ejected.sort((a, b) => a.score - b.score);
-  // Ejected upstreams are a last resort: when all upstreams are ejected, one must still be tried.
-  const usable = scored.length > 0 ? scored : ejected;
-  return usable.map(({ upstream }) => upstream);
+  return {
+    usable: scored.map(({ upstream }) => upstream),
+    ejected: ejected.map(({ upstream }) => upstream),
+  };
 }
 
+/** Ejected upstreams are a last resort: when all upstreams are ejected, one must still be tried. */
+const withLastResort = ({ usable, ejected }: Ranking): KnownUpstream[] =>
+  usable.length > 0 ? usable : ejected;
+
 /**
  * Ranks plain upstreams by requests in progress. Designed for many callers and few slots per
  * upstream.
@@ -106,15 +116,18 @@
   candidates: readonly KnownUpstream[],
   context: PlacementContext,
 ): KnownUpstream[] {
-  return rankCandidates(candidates, context, (state) => state.requests, {
-    dataCentre: context.dataCentre,
-    bonus: LOCAL_PLAIN_BONUS_REQUESTS,
-  });
+  return withLastResort(
+    rankCandidates(candidates, context, (state) => state.requests, {
+      dataCentre: context.dataCentre,
+      bonus: LOCAL_PLAIN_BONUS_REQUESTS,
+    }),
+  );
 }
 
 /**
  * Ranks prefill engines by prompt tokens in progress, preferring the data centre of the decode
- * engine.
+ * engine. Omits ejected engines, since the decode engine can prefill the prompt itself: designed for
+ * partitions in which every call to the prefill engines would end in a time-out.
  */
 export function rankPrefill(
   candidates: readonly KnownUpstream[],
@@ -122,10 +135,11 @@
   decode: DataCentreId,
 ): KnownUpstream[] {
   const prefill = candidates.filter(({ role }) => role === 'prefill');
-  return rankCandidates(prefill, context, (state) => state.tokens / PROMPT_TOKENS_PER_REQUEST, {
+  const scoreLoad = (state: CandidateState): number => state.tokens / PROMPT_TOKENS_PER_REQUEST;
+  return rankCandidates(prefill, context, scoreLoad, {
     dataCentre: decode,
     bonus: LOCAL_PREFILL_BONUS_REQUESTS,
-  });
+  }).usable;
 }
 
 /**
@@ -145,13 +159,12 @@
       state.requests < need.slots
     );
   });
-  return rankCandidates(
-    fitting,
-    context,
-    (state) => (state.tokens / need.memoryTokens) * need.slots,
-    {
+  const scoreLoad = (state: CandidateState): number =>
+    (state.tokens / need.memoryTokens) * need.slots;
+  return withLastResort(
+    rankCandidates(fitting, context, scoreLoad, {
       dataCentre: context.dataCentre,
       bonus: LOCAL_DECODE_BONUS_SHARE * need.slots,
-    },
+    }),
   );
 }
--- a/packages/serving/src/prefill-prompt.ts
+++ b/packages/serving/src/prefill-prompt.ts
@@ -49,6 +49,7 @@
     const limit = startTimeLimit(signal, PREFILL_TIMEOUT_MS);
     const startedAt = monotonicMs();
     coldLimit.record(upstream.id);
+    health.recordSend(upstream);
     const result = await transport.prefill({
       upstream,
       req,
--- a/packages/serving/src/serve-plain.ts
+++ b/packages/serving/src/serve-plain.ts
@@ -41,6 +41,7 @@
   const release = loads.begin(upstream.id, 0);
   const limit = startTimeLimit(admitted.signal, limitMs);
   coldLimit.record(upstream.id);
+  health.recordSend(upstream);
   const sent = await transport.send({
     upstream,
     req: admitted.req,
--- a/packages/serving/src/serving-gateway.ts
+++ b/packages/serving/src/serving-gateway.ts
@@ -4,6 +4,7 @@
 import { readBody } from '@hibiscusbank/gateway';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
+import { hasFreeCapacity } from './free-capacity.js';
 import { sendError } from './responses.js';
 import type { AdmittedRequest, HttpExchange, ServingContext } from './context.js';
 import { servePlain } from './serve-plain.js';
@@ -91,11 +92,28 @@
     return ok({ route, pool, organisation });
   };
 
+  const isPoolFree = (pool: ServingPool, tokens: number): boolean => {
+    const usable = directory.usable(pool.id);
+    const { engine } = pool;
+    if (engine === undefined) {
+      const used = usable.reduce((sum, { id }) => sum + context.loads.requests(id), 0);
+      const capacity = usable.reduce((sum, { slots }) => sum + (slots ?? 0), 0);
+      return hasFreeCapacity({ waiting: 0, used, capacity }, 1);
+    }
+    const decode = usable.filter(({ role }) => role === 'decode');
+    const used = decode.reduce((sum, { id }) => sum + context.loads.tokens(id), 0);
+    const waiting = context.queueFor(pool.id).size();
+    return hasFreeCapacity(
+      { waiting, used, capacity: decode.length * engine.memoryTokens },
+      tokens,
+    );
+  };
+
   const debit = (authorised: AuthorisedRoute, req: ServingRequest): Result<number, RouterError> => {
     const { organisation } = authorised;
     if (organisation === undefined) return ok(0);
     const tokens = computeCharge(organisation, req);
-    const decision = quota.debit(organisation, tokens);
+    const decision = quota.debit(organisation, tokens, isPoolFree(authorised.pool, tokens));
     if (decision.isGranted) return ok(tokens);
     return err(
       createError('rate_exceeded', 'the rate is used up; retry later', {
--- a/packages/serving/src/serving-node.ts
+++ b/packages/serving/src/serving-node.ts
@@ -12,6 +12,7 @@
 import { createChangingRoles } from './changing-roles.js';
 import { createColdLimit } from './cold-limit.js';
 import type { EngineReservation, HttpExchange, ServingContext } from './context.js';
+import { createDataCentreContact } from './data-centre-contact.js';
 import { createDirectory } from './directory.js';
 import { createEngineQueue } from './engine-queue.js';
 import type { EngineQueue } from './engine-queue.js';
@@ -19,6 +20,7 @@
 import { createLeaseObjects } from './lease-objects.js';
 import { createNodeRegistry } from './node-registry.js';
 import { createOrganisationQuota } from './organisation-quota.js';
+import type { QuotaTolerance } from './organisation-quota.js';
 import { createPeerDatagrams } from './peer-datagrams.js';
 import { createPeerLists } from './peer-lists.js';
 import { createPeerReports } from './peer-reports.js';
@@ -65,6 +67,8 @@
     readonly allowance: number;
     readonly windowMs: number;
   };
+  /** Excess over the rates of organisations that the operator tolerates. */
+  readonly quotaTolerance: QuotaTolerance;
   /** Maximum time for which an upstream that starts to drain may still get new requests. */
   readonly stopSendingWithinMs: number;
   /** Time between SIGTERM and the forced end of the process. */
@@ -140,6 +144,26 @@
     peers: localPeerReports,
   });
 
+  const contact = createDataCentreContact({
+    local: options.dataCentre,
+    peers: recipients,
+    telemetry,
+  });
+  /** Fraction of the registered nodes that this node has contact with, itself included. */
+  const reachableShare = (): number => {
+    const known = registry.peers();
+    const reachable = known.filter(
+      ({ node, dataCentre }) => livePeers.has(node) && !contact.isSilent(dataCentre),
+    );
+    return (reachable.length + 1) / (known.length + 1);
+  };
+  const quota = createOrganisationQuota({
+    reachableShare,
+    tolerance: options.quotaTolerance,
+    startedAt: monotonicMs(),
+    epoch: startedAt,
+  });
+
   const datagrams = createPeerDatagrams({ self, telemetry });
   const notices = createChangeNotices({ datagrams, recipients: localPeerReports });
 
@@ -160,12 +184,6 @@
     telemetry,
   });
 
-  const quota = createOrganisationQuota(() => {
-    const known = registry.names();
-    const group = known.filter((node) => node === self.node || livePeers.has(node));
-    return group.length / known.length;
-  });
-
   const lists = createPeerLists({
     feeds: feeds.byKind,
     reports: livePeers.reports,
@@ -189,8 +207,15 @@
       changing: changing.localOrders(),
       prefillMs: prefillWork.localTotals(),
     }),
-    beforeRound: watcherSelection.check,
+    beforeRound: () => {
+      watcherSelection.check();
+      const silent = contact.check();
+      for (const { node, dataCentre } of registry.peers()) {
+        if (dataCentre !== undefined && silent.includes(dataCentre)) quota.markAbsent(node);
+      }
+    },
     onReport: (report) => {
+      contact.record(report.dataCentre);
       feeds.confirm(report.revisions);
       lists.checkRevisions();
       loads.applyPeer(report.node, report.decode);
@@ -199,6 +224,7 @@
       quota.applyPeer(report.node, report.startedAt, report.spent);
     },
     onTimeout: (node) => {
+      quota.markAbsent(node);
       loads.dropPeer(node);
       prefillLoads.dropPeer(node);
     },
@@ -246,6 +272,7 @@
     loads,
     prefillLoads,
     prefillWork,
+    isDataCentreSilent: contact.isSilent,
     isChanging: changing.isChanging,
     queueFor: (pool) => {
       let queue = queues.get(pool);
--- a/packages/serving/src/types.ts
+++ b/packages/serving/src/types.ts
@@ -96,6 +96,8 @@
   /** `host:port`. */
   readonly address: string;
   readonly dataCentre: DataCentreId;
+  /** Requests that the upstream processes at a time, if it states them. */
+  readonly slots: number | undefined;
   /** Whether the upstream accepts new requests. */
   readonly isReady: boolean;
   /** Set for model engines. */
--- a/packages/serving/src/upstream-health.ts
+++ b/packages/serving/src/upstream-health.ts
@@ -13,6 +13,11 @@
 const NEWEST_OUTCOME_WEIGHT = 0.2;
 /** Half-life of the failure rate while nothing is sent. */
 const RATE_HALF_LIFE_MS = 4_000;
+/**
+ * Time after which another call may probe a failing upstream although the previous probe has not
+ * ended. It is longer than the time-outs of prefills and reservations.
+ */
+const PROBE_LIMIT_MS = 2_000;
 
 export interface UpstreamHealth {
   /** Returns the recent failure rate, 0 to 1. */
@@ -21,6 +26,8 @@
    * Whether the upstream or its data centre is avoided after several recent consecutive failures.
    */
   isEjected(upstream: LocatedUpstream): boolean;
+  /** Records that a call is being sent; while it probes a failing upstream, others avoid it. */
+  recordSend(upstream: LocatedUpstream): void;
   recordSuccess(upstream: LocatedUpstream): void;
   /** Records a failed call; `no_response` counts against the data centre too. */
   recordFailure(upstream: LocatedUpstream, response: 'answered' | 'no_response'): void;
@@ -44,6 +51,8 @@
 export function createUpstreamHealth(telemetry: Telemetry): UpstreamHealth {
   const records = new Map<UpstreamId, HealthRecord>();
   const dataCentres = new Map<DataCentreId, FailureBackoff>();
+  /** Start of the last probe of a failing upstream or data centre. */
+  const probes = new WeakMap<FailureBackoff, number>();
 
   const recordOf = (upstream: UpstreamId): HealthRecord => {
     let record = records.get(upstream);
@@ -69,8 +78,15 @@
     return known;
   };
 
-  const isEjectedNow = (backoff: FailureBackoff | undefined): boolean =>
-    backoff?.state(monotonicMs()) === 'ejected';
+  const isEjectedNow = (backoff: FailureBackoff | undefined): boolean => {
+    const state = backoff?.state(monotonicMs());
+    if (backoff === undefined || state !== 'probing') return state === 'ejected';
+    return monotonicMs() < (probes.get(backoff) ?? -Infinity) + PROBE_LIMIT_MS;
+  };
+
+  const startProbe = (backoff: FailureBackoff | undefined): void => {
+    if (backoff?.state(monotonicMs()) === 'probing') probes.set(backoff, monotonicMs());
+  };
 
   return {
     failureRate: (upstream) => {
@@ -79,6 +95,10 @@
     },
     isEjected: ({ id, dataCentre }) =>
       isEjectedNow(records.get(id)?.backoff) || isEjectedNow(dataCentres.get(dataCentre)),
+    recordSend: ({ id, dataCentre }) => {
+      startProbe(records.get(id)?.backoff);
+      startProbe(dataCentres.get(dataCentre));
+    },
     recordSuccess: ({ id, dataCentre }) => {
       const record = recordOf(id);
       record.backoff.recordSuccess();
--- a/packages/serving/test/decisions.test.ts
+++ b/packages/serving/test/decisions.test.ts
@@ -38,16 +38,26 @@
   defaultTokens: 200,
 };
 
+/** Creates the quota of a process that has run for a minute. */
+function createQuota(share: number) {
+  return createOrganisationQuota({
+    reachableShare: () => share,
+    tolerance: { windowMs: 8_000, ratio: 0.1, allowance: 0 },
+    startedAt: performance.now() - 60_000,
+    epoch: 0,
+  });
+}
+
 /**
  * Returns the tokens that several nodes grant under constant demand, with reports between them at
  * an interval.
  */
 async function spend(nodes: number, totalMs: number, reportMs: number, share: number) {
-  const quotas = Array.from({ length: nodes }, () => createOrganisationQuota(() => share));
+  const quotas = Array.from({ length: nodes }, () => createQuota(share));
   let granted = 0;
   for (let time = 0; time < totalMs; time += 20) {
     for (const quota of quotas) {
-      if (quota.debit(organisation, 100).isGranted) granted += 100;
+      if (quota.debit(organisation, 100, false).isGranted) granted += 100;
     }
     if (time % reportMs === 0) {
       quotas.forEach((quota, receiver) => {
@@ -74,25 +84,25 @@
 });
 
 test('spending of a peer is counted once when its report is repeated or the peer restarts', () => {
-  const quota = createOrganisationQuota(() => 1);
-  expect(quota.debit(organisation, 100).isGranted).toBe(true);
+  const quota = createQuota(1);
+  expect(quota.debit(organisation, 100, false).isGranted).toBe(true);
   quota.applyPeer('node-2', 1, { workshop: 300 });
   quota.applyPeer('node-2', 1, { workshop: 300 });
   quota.applyPeer('node-2', 2, { workshop: 100 });
-  expect(quota.debit(organisation, 501).isGranted).toBe(false);
-  expect(quota.debit(organisation, 500).isGranted).toBe(true);
+  expect(quota.debit(organisation, 501, false).isGranted).toBe(false);
+  expect(quota.debit(organisation, 500, false).isGranted).toBe(true);
 });
 
 test('a refusal over the rate states when the bucket holds enough tokens', () => {
-  const quota = createOrganisationQuota(() => 1);
-  quota.debit(organisation, 1_000);
-  expect(quota.debit(organisation, 250).retryAfterMs).toBeCloseTo(250, 0);
+  const quota = createQuota(1);
+  quota.debit(organisation, 1_000, false);
+  expect(quota.debit(organisation, 250, false).retryAfterMs).toBeCloseTo(250, 0);
 });
 
 test('a request larger than the burst is granted from a full bucket', () => {
-  const quota = createOrganisationQuota(() => 1);
-  expect(quota.debit(organisation, 1_500).isGranted).toBe(true);
-  expect(quota.debit(organisation, 100).isGranted).toBe(false);
+  const quota = createQuota(1);
+  expect(quota.debit(organisation, 1_500, false).isGranted).toBe(true);
+  expect(quota.debit(organisation, 100, false).isGranted).toBe(false);
 });
 
 test('the retries of all nodes stay within the limit of the fleet in every window', async () => {
--- /dev/null
+++ b/packages/serving/test/organisation-quota.test.ts
@@ -0,0 +1,218 @@
+import { organisationId } from '@hibiscusbank/core';
+import { afterEach, beforeEach, expect, test, vi } from 'vitest';
+import { hasFreeCapacity } from '../src/free-capacity.js';
+import { createOrganisationQuota } from '../src/organisation-quota.js';
+import type { OrganisationQuota } from '../src/organisation-quota.js';
+
+beforeEach(() => {
+  vi.useFakeTimers({ toFake: ['setTimeout', 'clearTimeout', 'performance'] });
+});
+
+afterEach(() => {
+  vi.useRealTimers();
+});
+
+const RATE = 30_000;
+const BURST = 30_000;
+const TOLERANCE = { windowMs: 8_000, ratio: 0.1, allowance: 110_000 };
+const STREAM_TOKENS = 8_000;
+const STEP_MS = 50;
+const REPORT_MS = 200;
+/** Time until a node notices that it no longer hears from another one. */
+const TIMEOUT_MS = 1_200;
+const WINDOW_LIMIT =
+  (RATE * (TOLERANCE.windowMs / 1_000) + BURST) * (1 + TOLERANCE.ratio) + TOLERANCE.allowance;
+
+const organisation = {
+  id: organisationId('workshop'),
+  keys: [],
+  priority: undefined,
+  ratePerSecond: RATE,
+  burst: BURST,
+  countsTokens: true,
+  defaultTokens: 200,
+};
+
+interface SimulatedNode {
+  quota: OrganisationQuota;
+  epoch: number;
+  share: number;
+  /** Tokens asked of this node that do not make up a whole request yet. */
+  backlog: number;
+}
+
+interface Simulation {
+  readonly nodes: number;
+  readonly seconds: number;
+  /** Tokens per second that the organisation asks of all nodes together. */
+  readonly demand: (second: number) => number;
+  /** Whether two nodes reach each other. */
+  readonly isConnected?: (a: number, b: number, ms: number) => boolean;
+  /** Nodes that restart at a time. */
+  readonly restarts?: (ms: number) => readonly number[];
+  readonly hasFreeCapacity?: boolean;
+}
+
+/** Plays nodes that exchange reports, and returns the tokens granted by step and node. */
+async function playDemand(simulation: Simulation) {
+  const { nodes, seconds, demand, isConnected = () => true } = simulation;
+  const hasFree = simulation.hasFreeCapacity ?? true;
+  const createNode = (epoch: number, startedAt: number): SimulatedNode => {
+    const node: SimulatedNode = { epoch, share: 1, backlog: 0, quota: undefined as never };
+    node.quota = createOrganisationQuota({
+      reachableShare: () => node.share,
+      tolerance: TOLERANCE,
+      startedAt,
+      epoch,
+    });
+    return node;
+  };
+  const fleet = Array.from({ length: nodes }, () => createNode(0, performance.now() - 60_000));
+  const heardAt = new Map<string, number>();
+  const granted: number[][] = [];
+
+  const exchangeReports = (ms: number): void => {
+    fleet.forEach((receiver, to) => {
+      let reached = 1;
+      fleet.forEach((sender, from) => {
+        if (from === to) return;
+        const key = `${from} ${to}`;
+        if (isConnected(from, to, ms)) {
+          heardAt.set(key, ms);
+          receiver.quota.applyPeer(`node-${from}`, sender.epoch, sender.quota.spent());
+        }
+        if (ms - (heardAt.get(key) ?? 0) <= TIMEOUT_MS) reached += 1;
+        else receiver.quota.markAbsent(`node-${from}`);
+      });
+      receiver.share = reached / nodes;
+    });
+  };
+
+  for (let ms = 0; ms < seconds * 1_000; ms += STEP_MS) {
+    for (const index of simulation.restarts?.(ms) ?? []) {
+      fleet[index] = createNode(ms + 1, performance.now());
+    }
+    if (ms % REPORT_MS === 0) exchangeReports(ms);
+    const perNode = (demand(ms / 1_000) * STEP_MS) / 1_000 / nodes;
+    granted.push(
+      fleet.map((node) => {
+        let tokens = 0;
+        for (
+          node.backlog += perNode;
+          node.backlog >= STREAM_TOKENS;
+          node.backlog -= STREAM_TOKENS
+        ) {
+          const { isGranted } = node.quota.debit(organisation, STREAM_TOKENS, hasFree);
+          if (isGranted) tokens += STREAM_TOKENS;
+        }
+        return tokens;
+      }),
+    );
+    await vi.advanceTimersByTimeAsync(STEP_MS);
+  }
+  return granted.map((step) => step.reduce((sum, tokens) => sum + tokens, 0));
+}
+
+const total = (granted: readonly number[], from = 0, to = Infinity): number =>
+  granted.slice(from, to).reduce((sum, tokens) => sum + tokens, 0);
+
+function largestWindow(granted: readonly number[]): number {
+  const steps = TOLERANCE.windowMs / STEP_MS;
+  return Math.max(...granted.map((_, start) => total(granted, start, start + steps)));
+}
+
+// An organisation whose few large requests bunch was refused while engines were idle.
+test('an organisation within its rate is not refused when its requests bunch beyond the burst', async () => {
+  // On average half of the rate, in bunches of one second every four.
+  const demand = (second: number): number => (second % 4 < 1 ? RATE * 2 : 0);
+  const granted = await playDemand({ nodes: 6, seconds: 32, demand });
+  const asked = 8 * RATE * 2;
+  expect(total(granted)).toBeGreaterThan(asked * 0.95);
+});
+
+test('an organisation over its rate gets no more than its rate and burst while capacity is short', async () => {
+  const granted = await playDemand({
+    nodes: 6,
+    seconds: 24,
+    demand: () => RATE * 3,
+    hasFreeCapacity: false,
+  });
+  expect(total(granted)).toBeLessThanOrEqual(RATE * 24 + BURST + 6 * STREAM_TOKENS);
+});
+
+test.each([
+  ['without faults', {}],
+  [
+    'while every node restarts in turn',
+    { restarts: (ms: number) => (ms % 1_500 === 0 ? [(ms / 1_500) % 6] : []) },
+  ],
+  [
+    'while a third of the nodes is cut off and comes back',
+    {
+      isConnected: (a: number, b: number, ms: number) =>
+        ms < 6_000 || ms > 13_000 || a < 2 === b < 2,
+    },
+  ],
+  [
+    'while all nodes are cut off from each other',
+    { isConnected: (_a: number, _b: number, ms: number) => ms < 9_000 || ms > 15_000 },
+  ],
+])(
+  'no window exceeds the tolerance of a hot organisation %s',
+  async (_, faults: Partial<Simulation>) => {
+    const granted = await playDemand({
+      nodes: 6,
+      seconds: 30,
+      demand: (second) => (second < 4 ? RATE / 2 : RATE * 4),
+      ...faults,
+    });
+    expect(largestWindow(granted)).toBeLessThanOrEqual(WINDOW_LIMIT);
+    expect(total(granted)).toBeGreaterThan(RATE * 20);
+  },
+);
+
+// After a partition each side charged itself what the other side had spent of its own share, and
+// refused the organisation for seconds.
+test('the side of a healed partition does not pay for what the other side spent of its share', async () => {
+  const demand = (): number => RATE * 0.8;
+  const granted = await playDemand({
+    nodes: 6,
+    seconds: 20,
+    demand,
+    isConnected: (a, b, ms) => ms < 4_000 || ms > 12_000 || a < 3 === b < 3,
+    hasFreeCapacity: false,
+  });
+  const after = total(granted, 12_000 / STEP_MS, 16_000 / STEP_MS);
+  expect(after).toBeGreaterThan(RATE * 0.8 * 4 * 0.9);
+});
+
+// A restarted node took the totals that its peers had spent in hours for spending of this moment.
+test('a new process does not charge itself what its peers spent before it started', () => {
+  const quota = createOrganisationQuota({
+    reachableShare: () => 1,
+    tolerance: TOLERANCE,
+    startedAt: performance.now() - 2_000,
+    epoch: 1_000,
+  });
+  expect(quota.debit(organisation, 1_000, false).isGranted).toBe(true);
+  quota.applyPeer('node-2', 500, { workshop: 9_000_000 });
+  expect(quota.debit(organisation, 1_000, false).isGranted).toBe(true);
+  quota.applyPeer('node-2', 500, { workshop: 9_000_000 + 2 * BURST });
+  expect(quota.debit(organisation, 1_000, false).isGranted).toBe(false);
+});
+
+test('the bucket of a new process is not full again', () => {
+  const quota = createOrganisationQuota({
+    reachableShare: () => 1,
+    tolerance: TOLERANCE,
+    startedAt: performance.now() - 100,
+    epoch: 1,
+  });
+  expect(quota.debit(organisation, STREAM_TOKENS, true).isGranted).toBe(false);
+});
+
+test('a pool has no free capacity for the excess of one organisation while requests wait', () => {
+  expect(hasFreeCapacity({ waiting: 0, used: 50_000, capacity: 100_000 }, 8_000)).toBe(true);
+  expect(hasFreeCapacity({ waiting: 1, used: 50_000, capacity: 100_000 }, 8_000)).toBe(false);
+  expect(hasFreeCapacity({ waiting: 0, used: 80_000, capacity: 100_000 }, 8_000)).toBe(false);
+});
--- a/packages/serving/test/support/test-node.ts
+++ b/packages/serving/test/support/test-node.ts
@@ -116,6 +116,7 @@
     pool: plainPool,
     address: '127.0.0.1:1',
     dataCentre: dataCentreId('a'),
+    slots: 6,
     isReady: true,
     role: undefined,
     startedAt: 1,
@@ -284,6 +285,7 @@
       });
     },
     retryBudget: { ratio: 0.2, allowance: 52, windowMs: 10_000 },
+    quotaTolerance: { windowMs: 8_000, ratio: 0.1, allowance: 0 },
     stopSendingWithinMs: 2_000,
     graceMs: 8_000,
     telemetry: createTelemetry({ vm: name }, (_, context, text) => {
