Count the spending of remote data centres by what their nodes know together

Cause: in a fleet of 80 nodes a remote node reports every 9 s (26 s at 195), so a hot organisation spent far beyond its bound before other nodes knew: the new test grants 648,000 of at most 407,000 tokens in a window at 80 nodes and 960,000 at 195, all that was asked. Spending of an organisation from which a node had served nothing yet was not counted at all, since its bucket did not exist. Change: nodes report what their data centre spent together, and in large fleets remote spending is counted from these totals; buckets exist from the configuration on; nothing is overdrawn where local reports are over 2.5 s apart; after an outage of all nodes the buckets start full, beside running peers empty.

--- a/packages/serving/src/organisation-quota.ts
+++ b/packages/serving/src/organisation-quota.ts
@@ -9,14 +9,26 @@
  * requests bunch beyond a burst of a few requests: while upstreams have free capacity, a bucket may
  * be overdrawn. The rest covers spending that is not reported yet.
  */
-import { monotonicMs } from '@hibiscusbank/core';
+import { monotonicMs, organisationId } from '@hibiscusbank/core';
 import type { OrganisationId } from '@hibiscusbank/core';
+import { createDataCentreTotals, createNodeTotals } from './spending-totals.js';
+import type { Spending, SpendingTotals } from './spending-totals.js';
 import type { ServingOrganisation } from './types.js';
 
 const MS_PER_S = 1_000;
 /** Fraction of the tolerated excess by which buckets may be overdrawn. */
 const OVERDRAFT_SHARE = 0.5;
 
+/**
+ * Interval between two reports of nearby nodes up to which buckets may be overdrawn. With longer
+ * ones, spending that is not reported yet takes the whole tolerance when an organisation bursts.
+ */
+const MAX_OVERDRAFT_INTERVAL_MS = 2_500;
+/** Time after the start of a process in which the first reports of running peers arrive. */
+const FIRST_REPORTS_MS = 600;
+/** Peers whose processes started by more than this before this one were running when it started. */
+const RUNNING_BEFORE_MS = 3_000;
+
 /** Spending in any window that the operator tolerates beyond rate and burst. */
 export interface QuotaTolerance {
   readonly windowMs: number;
@@ -33,16 +45,34 @@
 }
 
 export interface OrganisationQuota {
+  /**
+   * Sets the organisations of the configuration. Each has a bucket from then on, since other nodes
+   * spend from it before the first request reaches this node.
+   */
+  setOrganisations(organisations: readonly ServingOrganisation[]): void;
   /** Debits a request. `hasFreeCapacity`: whether it takes no capacity that others wait for. */
   debit(organisation: ServingOrganisation, tokens: number, hasFreeCapacity: boolean): QuotaDecision;
   /** Refunds the charge of a request that did not run. */
   refund(organisation: OrganisationId, tokens: number): void;
   /** Records that contact to a node was lost; its refill no longer reaches this node's buckets. */
-  markAbsent(peer: string): void;
+  markAbsent(nodeOrDataCentre: string): void;
   /** Returns the tokens spent on this node since its start, by organisation. */
-  spent(): Readonly<Record<string, number>>;
-  /** Applies the totals of another node. `epoch` changes when that node restarts. */
-  applyPeer(peer: string, epoch: number, spent: Readonly<Record<string, number>>): void;
+  spent(): Spending;
+  /** Returns the tokens spent in the local data centre, as far as this node knows. */
+  spentNearby(): Spending;
+  applyReport(report: SpendingReport): void;
+}
+
+/** What a node reports of the spending of organisations. */
+export interface SpendingReport {
+  readonly node: string;
+  readonly dataCentre?: string | undefined;
+  /** Start of the process in Unix milliseconds; totals start at 0 then. */
+  readonly startedAt: number;
+  /** Tokens spent on the node itself. */
+  readonly spent: Spending;
+  /** Tokens spent on all nodes of its data centre that it knows of. */
+  readonly spentNearby: Spending;
 }
 
 export interface OrganisationQuotaOptions {
@@ -54,52 +84,80 @@
    * new process does not know what was spent before.
    */
   readonly startedAt: number;
-  /** Epoch of this node, comparable with the epochs of peers. */
+  /** Start of this process in Unix milliseconds. */
   readonly epoch: number;
+  readonly dataCentre: string;
+  /** Returns the interval between two reports of a node in the local data centre. */
+  readonly reportIntervalMs: () => number;
+  /**
+   * Whether remote nodes report too rarely to count their spending one by one. What the nodes of
+   * their data centre know together is then a few seconds newer.
+   */
+  readonly usesSummaries: () => boolean;
 }
 
 interface Bucket {
+  organisation: ServingOrganisation;
   tokens: number;
-  burst: number;
-  /** Tokens per second that this node's group may use at present. */
-  groupRate: number;
   /** Refill of nodes out of contact. It pays for their spending when contact returns. */
   withheld: number;
   refilledAt: number;
+  /** Whether it was decided if the bucket starts full. */
+  isSettled: boolean;
+}
+
+function addTo(totals: Map<string, number>, organisation: string, tokens: number): void {
+  totals.set(organisation, (totals.get(organisation) ?? 0) + tokens);
 }
 
 /** Creates the quota of one node. */
 export function createOrganisationQuota(options: OrganisationQuotaOptions): OrganisationQuota {
   const { reachableShare, tolerance, startedAt } = options;
-  const buckets = new Map<string, Bucket>();
+  const buckets = new Map<OrganisationId, Bucket>();
   const localSpent = new Map<string, number>();
   const absent = new Set<string>();
-  const peers = new Map<string, { readonly epoch: number; readonly spent: Map<string, number> }>();
+  let hasRunningPeer = false;
+  const spentNearby = new Map<string, number>();
+  const nodeTotals = createNodeTotals();
+  const dataCentreTotals = new Map<string, SpendingTotals>();
 
-  const refill = (organisation: ServingOrganisation, share: number): Bucket => {
+  const addBucket = (organisation: ServingOrganisation): Bucket => {
+    const bucket: Bucket = {
+      organisation,
+      tokens: 0,
+      withheld: 0,
+      refilledAt: startedAt,
+      isSettled: false,
+    };
+    buckets.set(organisation.id, bucket);
+    return bucket;
+  };
+
+  const refill = (bucket: Bucket): void => {
     const now = monotonicMs();
-    let bucket = buckets.get(organisation.id);
-    if (bucket === undefined) {
-      bucket = { tokens: 0, burst: 0, groupRate: 0, withheld: 0, refilledAt: startedAt };
-      buckets.set(organisation.id, bucket);
+    const share = reachableShare();
+    const { ratePerSecond, burst } = bucket.organisation;
+    const gained = ((now - bucket.refilledAt) / MS_PER_S) * ratePerSecond;
+    bucket.tokens = Math.min(burst * share, bucket.tokens + gained * share);
+    if (!bucket.isSettled && now - startedAt >= FIRST_REPORTS_MS) {
+      bucket.isSettled = true;
+      // After an outage of all nodes nobody can have spent the burst meanwhile.
+      if (!hasRunningPeer) bucket.tokens = burst * share;
     }
-    const gained = ((now - bucket.refilledAt) / MS_PER_S) * organisation.ratePerSecond;
-    bucket.burst = organisation.burst * share;
-    bucket.groupRate = organisation.ratePerSecond * share;
-    bucket.tokens = Math.min(bucket.burst, bucket.tokens + gained * share);
     bucket.withheld =
       share < 1 ? bucket.withheld + gained * (1 - share) : Math.max(0, bucket.withheld - gained);
     bucket.refilledAt = now;
-    return bucket;
   };
 
-  const subtract = (organisation: string, tokens: number): void => {
+  const subtract = (organisation: OrganisationId, tokens: number): void => {
     const bucket = buckets.get(organisation);
-    if (bucket !== undefined) bucket.tokens = Math.min(bucket.burst, bucket.tokens - tokens);
+    if (bucket === undefined) return;
+    refill(bucket);
+    bucket.tokens -= tokens;
   };
 
   /** Pays for spending out of contact from what was withheld meanwhile. Returns the rest. */
-  const payFromWithheld = (organisation: string, tokens: number): number => {
+  const payFromWithheld = (organisation: OrganisationId, tokens: number): number => {
     const bucket = buckets.get(organisation);
     if (bucket === undefined) return tokens;
     const paid = Math.max(0, Math.min(bucket.withheld, tokens));
@@ -107,9 +165,24 @@
     return tokens - paid;
   };
 
+  const recordLocal = (organisation: string, tokens: number): void => {
+    addTo(localSpent, organisation, tokens);
+    addTo(spentNearby, organisation, tokens);
+  };
+
+  /** Charges what a node or data centre spent. */
+  const charge = (source: string, spent: Spending): void => {
+    const wasAbsent = absent.delete(source);
+    for (const [id, tokens] of Object.entries(spent)) {
+      const organisation = organisationId(id);
+      subtract(organisation, wasAbsent ? payFromWithheld(organisation, tokens) : tokens);
+    }
+  };
+
   const overdraft = ({ ratePerSecond, burst }: ServingOrganisation): number => {
     // The spending of the window before the start is unknown and may have used the tolerance.
     if (monotonicMs() - startedAt < tolerance.windowMs) return 0;
+    if (options.reportIntervalMs() > MAX_OVERDRAFT_INTERVAL_MS) return 0;
     const window = ratePerSecond * (tolerance.windowMs / MS_PER_S) + burst;
     return OVERDRAFT_SHARE * (tolerance.ratio * window + tolerance.allowance);
   };
@@ -117,43 +190,59 @@
   return {
     debit: (organisation, tokens, hasFreeCapacity) => {
       if (organisation.ratePerSecond === 0) return { isGranted: true, retryAfterMs: 0 };
+      const bucket = buckets.get(organisation.id) ?? addBucket(organisation);
+      refill(bucket);
       const share = reachableShare();
-      const bucket = refill(organisation, share);
       // A request larger than the burst needs only a full bucket, otherwise it could never run.
-      const needed = Math.min(tokens, bucket.burst);
+      const needed = Math.min(tokens, organisation.burst * share);
       const available = bucket.tokens + (hasFreeCapacity ? overdraft(organisation) * share : 0);
       if (available < needed) {
-        return {
-          isGranted: false,
-          retryAfterMs: ((needed - available) / bucket.groupRate) * MS_PER_S,
-        };
+        const tokensPerMs = (organisation.ratePerSecond * share) / MS_PER_S;
+        return { isGranted: false, retryAfterMs: (needed - available) / tokensPerMs };
       }
       bucket.tokens -= tokens;
-      localSpent.set(organisation.id, (localSpent.get(organisation.id) ?? 0) + tokens);
+      recordLocal(organisation.id, tokens);
       return { isGranted: true, retryAfterMs: 0 };
     },
+    setOrganisations: (organisations) => {
+      const known = new Map(organisations.map((organisation) => [organisation.id, organisation]));
+      for (const id of buckets.keys()) if (!known.has(id)) buckets.delete(id);
+      for (const organisation of organisations) {
+        const bucket = buckets.get(organisation.id) ?? addBucket(organisation);
+        // What was gained until now, was gained at the previous rate.
+        refill(bucket);
+        bucket.organisation = organisation;
+      }
+    },
     refund: (organisation, tokens) => {
       subtract(organisation, -tokens);
-      localSpent.set(organisation, (localSpent.get(organisation) ?? 0) - tokens);
+      recordLocal(organisation, -tokens);
     },
-    markAbsent: (peer) => {
-      absent.add(peer);
+    markAbsent: (nodeOrDataCentre) => {
+      absent.add(nodeOrDataCentre);
     },
     spent: () => Object.fromEntries(localSpent),
-    applyPeer: (peer, epoch, spent) => {
-      let known = peers.get(peer);
-      if (known === undefined || known.epoch !== epoch) {
-        // What a peer spent before this process started left the bucket that this process never had.
-        const isOlder = known === undefined && epoch < options.epoch;
-        known = { epoch, spent: new Map(isOlder ? Object.entries(spent) : []) };
-        peers.set(peer, known);
+    spentNearby: () => Object.fromEntries(spentNearby),
+    applyReport: (report) => {
+      const { node, dataCentre, startedAt: epoch } = report;
+      const isNearby = dataCentre === options.dataCentre;
+      if (epoch < options.epoch - RUNNING_BEFORE_MS) hasRunningPeer = true;
+      // What a peer spent before this process started left buckets that this process never had.
+      const spentByNode = nodeTotals.takeNew(node, epoch, report.spent, epoch < options.epoch);
+      if (isNearby) {
+        for (const [organisation, tokens] of Object.entries(spentByNode)) {
+          addTo(spentNearby, organisation, tokens);
+        }
       }
-      const wasAbsent = absent.delete(peer);
-      for (const [organisation, total] of Object.entries(spent)) {
-        const newlySpent = total - (known.spent.get(organisation) ?? 0);
-        subtract(organisation, wasAbsent ? payFromWithheld(organisation, newlySpent) : newlySpent);
-        known.spent.set(organisation, total);
+      if (isNearby || dataCentre === undefined) {
+        charge(node, spentByNode);
+        return;
       }
+      const totals = dataCentreTotals.get(dataCentre) ?? createDataCentreTotals();
+      dataCentreTotals.set(dataCentre, totals);
+      const spentThere = totals.takeNew(node, epoch, report.spentNearby, true);
+      if (options.usesSummaries()) charge(dataCentre, spentThere);
+      else charge(node, spentByNode);
     },
   };
 }
--- a/packages/serving/src/peer-reports.ts
+++ b/packages/serving/src/peer-reports.ts
@@ -2,6 +2,7 @@
 import type { Telemetry } from '@hibiscusbank/core';
 import type { LivePeers } from './live-peers.js';
 import type { PeerDatagrams } from './peer-datagrams.js';
+import type { Spending } from './spending-totals.js';
 import type { PrefillTotals } from './prefill-work.js';
 import type { EngineRole } from './types.js';
 import type { LoadReport } from './upstream-loads.js';
@@ -54,7 +55,10 @@
   /** Load on plain upstreams and decode engines. */
   readonly decode: LoadReport;
   readonly prefill: LoadReport;
-  readonly spent: Readonly<Record<string, number>>;
+  /** Tokens that organisations spent on the node since its start. */
+  readonly spent: Spending;
+  /** Tokens spent in the node's data centre since the start of the node, as far as it knows. */
+  readonly spentNearby: Spending;
   readonly revisions: Readonly<Record<string, KnownRevisions>>;
   readonly changing: RoleChanges;
   readonly prefillMs: PrefillTotals;
@@ -62,7 +66,14 @@
 
 export type LocalState = Pick<
   PeerReport,
-  'isConnected' | 'decode' | 'prefill' | 'spent' | 'revisions' | 'changing' | 'prefillMs'
+  | 'isConnected'
+  | 'decode'
+  | 'prefill'
+  | 'spent'
+  | 'spentNearby'
+  | 'revisions'
+  | 'changing'
+  | 'prefillMs'
 >;
 
 export interface PeerReportsOptions {
@@ -103,16 +114,28 @@
     typeof report?.node === 'string' &&
     typeof report.startedAt === 'number' &&
     typeof report.sequence === 'number' &&
-    typeof report.revisions === 'object'
+    typeof report.revisions === 'object' &&
+    typeof report.spent === 'object' &&
+    typeof report.spentNearby === 'object'
   );
 }
 
+/** Whether a fleet is so large that a node does not report to every peer each interval. */
+export function isLargeFleet(nodes: number): boolean {
+  return nodes > SMALL_FLEET_NODES;
+}
+
 /** Returns the interval between two reports to one of `count` peers in a fleet of `fleet` nodes. */
 export function reportIntervalMs(count: number, perSecond: number, fleet: number): number {
-  if (fleet <= SMALL_FLEET_NODES) return REPORT_INTERVAL_MS;
+  if (!isLargeFleet(fleet)) return REPORT_INTERVAL_MS;
   return Math.max(REPORT_INTERVAL_MS, (count * MS_PER_S) / perSecond);
 }
 
+/** Returns the interval between two reports of a node to one of its `count` local peers. */
+export function localReportIntervalMs(count: number, fleet: number): number {
+  return reportIntervalMs(count, LOCAL_REPORTS_PER_S, fleet);
+}
+
 /** Returns the interval between two reports of a node to one of its `count` remote peers. */
 export function remoteReportIntervalMs(count: number, fleet: number): number {
   return reportIntervalMs(count, REMOTE_REPORTS_PER_S, fleet);
--- a/packages/serving/src/serving-node.ts
+++ b/packages/serving/src/serving-node.ts
@@ -23,7 +23,7 @@
 import type { QuotaTolerance } from './organisation-quota.js';
 import { createPeerDatagrams } from './peer-datagrams.js';
 import { createPeerLists } from './peer-lists.js';
-import { createPeerReports } from './peer-reports.js';
+import { createPeerReports, isLargeFleet, localReportIntervalMs } from './peer-reports.js';
 import type { KnownPeer } from './peer-reports.js';
 import type { EntryDecoders, EntryStore, UpstreamTransport } from './ports.js';
 import { createPrefillWork } from './prefill-work.js';
@@ -162,6 +162,10 @@
     tolerance: options.quotaTolerance,
     startedAt: monotonicMs(),
     epoch: startedAt,
+    dataCentre: options.dataCentre,
+    reportIntervalMs: () =>
+      localReportIntervalMs(localPeerReports().length, registry.names().length),
+    usesSummaries: () => isLargeFleet(registry.names().length),
   });
 
   const datagrams = createPeerDatagrams({ self, telemetry });
@@ -172,7 +176,10 @@
     decoders: options.decoders,
     stopSendingWithinMs: options.stopSendingWithinMs,
     watcherSelection,
-    onTables: directory.setTables,
+    onTables: (entries) => {
+      directory.setTables(entries);
+      quota.setOrganisations(directory.tables()?.organisations ?? []);
+    },
     onUpstreams: (entries) => {
       directory.setUpstreams(entries);
       const known = directory.upstreams();
@@ -203,6 +210,7 @@
       decode: loads.localReport(),
       prefill: prefillLoads.localReport(),
       spent: quota.spent(),
+      spentNearby: quota.spentNearby(),
       revisions: feeds.revisions(),
       changing: changing.localOrders(),
       prefillMs: prefillWork.localTotals(),
@@ -210,6 +218,7 @@
     beforeRound: () => {
       watcherSelection.check();
       const silent = contact.check();
+      silent.forEach(quota.markAbsent);
       for (const { node, dataCentre } of registry.peers()) {
         if (dataCentre !== undefined && silent.includes(dataCentre)) quota.markAbsent(node);
       }
@@ -221,7 +230,7 @@
       loads.applyPeer(report.node, report.decode);
       prefillLoads.applyPeer(report.node, report.prefill);
       prefillWork.applyPeer(report.node, report.startedAt, report.prefillMs);
-      quota.applyPeer(report.node, report.startedAt, report.spent);
+      quota.applyReport(report);
     },
     onTimeout: (node) => {
       quota.markAbsent(node);
--- a/packages/serving/test/decisions.test.ts
+++ b/packages/serving/test/decisions.test.ts
@@ -9,6 +9,7 @@
 import { createColdLimit } from '../src/cold-limit.js';
 import type { KnownUpstream } from '../src/directory.js';
 import { createOrganisationQuota } from '../src/organisation-quota.js';
+import type { OrganisationQuota } from '../src/organisation-quota.js';
 import { rankDecode, rankPlain, rankPrefill } from '../src/placement.js';
 import type { CandidateState, PlacementContext } from '../src/placement.js';
 import { createRetryBudget } from '../src/retry-budget.js';
@@ -45,9 +46,22 @@
     tolerance: { windowMs: 8_000, ratio: 0.1, allowance: 0 },
     startedAt: performance.now() - 60_000,
     epoch: 0,
+    dataCentre: 'a',
+    reportIntervalMs: () => 200,
+    usesSummaries: () => false,
   });
 }
 
+/** Applies a report of a peer in the same data centre. */
+function applyPeer(
+  quota: OrganisationQuota,
+  node: string,
+  startedAt: number,
+  spent: Record<string, number>,
+): void {
+  quota.applyReport({ node, dataCentre: 'a', startedAt, spent, spentNearby: {} });
+}
+
 /**
  * Returns the tokens that several nodes grant under constant demand, with reports between them at
  * an interval.
@@ -62,7 +76,7 @@
     if (time % reportMs === 0) {
       quotas.forEach((quota, receiver) => {
         quotas.forEach((other, sender) => {
-          if (receiver !== sender) quota.applyPeer(`node-${sender}`, 1, other.spent());
+          if (receiver !== sender) applyPeer(quota, `node-${sender}`, 1, other.spent());
         });
       });
     }
@@ -86,9 +100,9 @@
 test('spending of a peer is counted once when its report is repeated or the peer restarts', () => {
   const quota = createQuota(1);
   expect(quota.debit(organisation, 100, false).isGranted).toBe(true);
-  quota.applyPeer('node-2', 1, { workshop: 300 });
-  quota.applyPeer('node-2', 1, { workshop: 300 });
-  quota.applyPeer('node-2', 2, { workshop: 100 });
+  applyPeer(quota, 'node-2', 1, { workshop: 300 });
+  applyPeer(quota, 'node-2', 1, { workshop: 300 });
+  applyPeer(quota, 'node-2', 2, { workshop: 100 });
   expect(quota.debit(organisation, 501, false).isGranted).toBe(false);
   expect(quota.debit(organisation, 500, false).isGranted).toBe(true);
 });
--- a/packages/serving/test/organisation-quota.test.ts
+++ b/packages/serving/test/organisation-quota.test.ts
@@ -2,6 +2,11 @@
 import { afterEach, beforeEach, expect, test, vi } from 'vitest';
 import { hasFreeCapacity } from '../src/free-capacity.js';
 import { createOrganisationQuota } from '../src/organisation-quota.js';
+import {
+  isLargeFleet,
+  localReportIntervalMs,
+  remoteReportIntervalMs,
+} from '../src/peer-reports.js';
 import type { OrganisationQuota } from '../src/organisation-quota.js';
 
 beforeEach(() => {
@@ -48,6 +53,9 @@
   readonly demand: (second: number) => number;
   /** Whether two nodes reach each other. */
   readonly isConnected?: (a: number, b: number, ms: number) => boolean;
+  readonly dataCentres?: number;
+  /** Interval between two reports of one node to another. */
+  readonly intervalMs?: (a: number, b: number) => number;
   /** Nodes that restart at a time. */
   readonly restarts?: (ms: number) => readonly number[];
   readonly hasFreeCapacity?: boolean;
@@ -56,19 +64,33 @@
 /** Plays nodes that exchange reports, and returns the tokens granted by step and node. */
 async function playDemand(simulation: Simulation) {
   const { nodes, seconds, demand, isConnected = () => true } = simulation;
+  const { intervalMs = () => REPORT_MS, dataCentres = 1 } = simulation;
+  const dataCentreOf = (index: number): string => `dc${index % dataCentres}`;
   const hasFree = simulation.hasFreeCapacity ?? true;
-  const createNode = (epoch: number, startedAt: number): SimulatedNode => {
-    const node: SimulatedNode = { epoch, share: 1, backlog: 0, quota: undefined as never };
+  const createNode = (index: number, epoch: number, startedAt: number): SimulatedNode => {
+    const node: SimulatedNode = {
+      epoch,
+      share: 1,
+      // Requests do not arrive at all nodes at the same moment.
+      backlog: (index / nodes) * STREAM_TOKENS,
+      quota: undefined as never,
+    };
     node.quota = createOrganisationQuota({
       reachableShare: () => node.share,
       tolerance: TOLERANCE,
       startedAt,
       epoch,
+      dataCentre: dataCentreOf(index),
+      reportIntervalMs: () => intervalMs(index, index + dataCentres),
+      usesSummaries: () => isLargeFleet(nodes),
     });
+    node.quota.setOrganisations([organisation]);
     return node;
   };
-  const fleet = Array.from({ length: nodes }, () => createNode(0, performance.now() - 60_000));
-  const heardAt = new Map<string, number>();
+  const fleet = Array.from({ length: nodes }, (_, index) =>
+    createNode(index, -60_000, performance.now() - 60_000),
+  );
+  const heardAt = new Float64Array(nodes * nodes);
   const granted: number[][] = [];
 
   const exchangeReports = (ms: number): void => {
@@ -76,12 +98,22 @@
       let reached = 1;
       fleet.forEach((sender, from) => {
         if (from === to) return;
-        const key = `${from} ${to}`;
-        if (isConnected(from, to, ms)) {
-          heardAt.set(key, ms);
-          receiver.quota.applyPeer(`node-${from}`, sender.epoch, sender.quota.spent());
+        const pair = from * nodes + to;
+        const interval = Math.ceil(intervalMs(from, to) / REPORT_MS) * REPORT_MS;
+        // Nodes report in turn, so reports to different peers fall on different rounds.
+        const isTurn = (ms + (from * 7 + to * 13) * REPORT_MS) % interval === 0;
+        if (isTurn && isConnected(from, to, ms)) {
+          heardAt[pair] = ms;
+          receiver.quota.applyReport({
+            node: `node-${from}`,
+            dataCentre: dataCentreOf(from),
+            startedAt: sender.epoch,
+            spent: sender.quota.spent(),
+            spentNearby: sender.quota.spentNearby(),
+          });
         }
-        if (ms - (heardAt.get(key) ?? 0) <= TIMEOUT_MS) reached += 1;
+        const timeoutMs = Math.max(TIMEOUT_MS, 4 * interval);
+        if (ms - (heardAt[pair] ?? 0) <= timeoutMs) reached += 1;
         else receiver.quota.markAbsent(`node-${from}`);
       });
       receiver.share = reached / nodes;
@@ -90,7 +122,7 @@
 
   for (let ms = 0; ms < seconds * 1_000; ms += STEP_MS) {
     for (const index of simulation.restarts?.(ms) ?? []) {
-      fleet[index] = createNode(ms + 1, performance.now());
+      fleet[index] = createNode(index, ms + 1, performance.now());
     }
     if (ms % REPORT_MS === 0) exchangeReports(ms);
     const perNode = (demand(ms / 1_000) * STEP_MS) / 1_000 / nodes;
@@ -113,6 +145,15 @@
   return granted.map((step) => step.reduce((sum, tokens) => sum + tokens, 0));
 }
 
+/** Applies a report of a peer in the same data centre. */
+function applySpent(
+  quota: OrganisationQuota,
+  startedAt: number,
+  spent: Record<string, number>,
+): void {
+  quota.applyReport({ node: 'node-2', dataCentre: 'a', startedAt, spent, spentNearby: {} });
+}
+
 const total = (granted: readonly number[], from = 0, to = Infinity): number =>
   granted.slice(from, to).reduce((sum, tokens) => sum + tokens, 0);
 
@@ -171,6 +212,28 @@
   },
 );
 
+// With totals of single nodes only, a node of a large fleet learns of most spending after seconds.
+test.each([
+  [80, 3],
+  [195, 5],
+])(
+  'no window exceeds the tolerance of a hot organisation in a fleet of %i nodes',
+  async (nodes, dataCentres) => {
+    const local = nodes / dataCentres - 1;
+    const granted = await playDemand({
+      nodes,
+      dataCentres,
+      seconds: 45,
+      demand: (second) => (second < 30 || second > 38 ? RATE / 2 : RATE * 4),
+      intervalMs: (a, b) =>
+        a % dataCentres === b % dataCentres
+          ? localReportIntervalMs(local, nodes)
+          : remoteReportIntervalMs(nodes - local, nodes),
+    });
+    expect(largestWindow(granted)).toBeLessThanOrEqual(WINDOW_LIMIT);
+  },
+);
+
 // After a partition each side charged itself what the other side had spent of its own share, and
 // refused the organisation for seconds.
 test('the side of a healed partition does not pay for what the other side spent of its share', async () => {
@@ -193,22 +256,42 @@
     tolerance: TOLERANCE,
     startedAt: performance.now() - 2_000,
     epoch: 1_000,
+    dataCentre: 'a',
+    reportIntervalMs: () => REPORT_MS,
+    usesSummaries: () => false,
   });
   expect(quota.debit(organisation, 1_000, false).isGranted).toBe(true);
-  quota.applyPeer('node-2', 500, { workshop: 9_000_000 });
+  applySpent(quota, 500, { workshop: 9_000_000 });
   expect(quota.debit(organisation, 1_000, false).isGranted).toBe(true);
-  quota.applyPeer('node-2', 500, { workshop: 9_000_000 + 2 * BURST });
+  applySpent(quota, 500, { workshop: 9_000_000 + 2 * BURST });
   expect(quota.debit(organisation, 1_000, false).isGranted).toBe(false);
 });
 
-test('the bucket of a new process is not full again', () => {
-  const quota = createOrganisationQuota({
+function createStartedQuota(sinceMs: number): OrganisationQuota {
+  return createOrganisationQuota({
     reachableShare: () => 1,
     tolerance: TOLERANCE,
-    startedAt: performance.now() - 100,
-    epoch: 1,
+    startedAt: performance.now() - sinceMs,
+    epoch: 100_000,
+    dataCentre: 'a',
+    reportIntervalMs: () => REPORT_MS,
+    usesSummaries: () => false,
   });
+}
+
+test('the bucket of a process that starts beside running peers is not full again', async () => {
+  const quota = createStartedQuota(100);
   expect(quota.debit(organisation, STREAM_TOKENS, true).isGranted).toBe(false);
+  applySpent(quota, 50_000, {});
+  await vi.advanceTimersByTimeAsync(600);
+  expect(quota.debit(organisation, BURST, true).isGranted).toBe(false);
+});
+
+// After a power failure of all nodes the callers that come back at once were refused.
+test('after an outage of all nodes the buckets are full', () => {
+  const quota = createStartedQuota(700);
+  applySpent(quota, 99_500, {});
+  expect(quota.debit(organisation, BURST, false).isGranted).toBe(true);
 });
 
 test('a pool has no free capacity for the excess of one organisation while requests wait', () => {
--- a/packages/serving/test/peer-reports.test.ts
+++ b/packages/serving/test/peer-reports.test.ts
@@ -17,6 +17,7 @@
   decode: {},
   prefill: {},
   spent: {},
+  spentNearby: {},
   revisions: {},
   changing: {},
   prefillMs: {},
