Avoid engines that moved or turned slow, and keep small requests going when large ones have used the overdraft

Streams on two engines that ran five times slower had pauses over 300 ms for five seconds. 164 lookups and bookings of the organisation over its rate were refused, each 1/40 of a stream. Change: a node remembers upstreams that answered 421 until their entry changes, 3 s at most; engines whose streams pause 2.5 times as long as the median are used last; a small request may overdraw further (0.75 of the tolerance) than a large one (0.6). Ruled out: failures as a sign of slow engines, since they answer every call.

--- a/packages/serving/src/context.ts
+++ b/packages/serving/src/context.ts
@@ -10,7 +10,9 @@
 import { monotonicMs } from '@hibiscusbank/core';
 import type { ColdLimit } from './cold-limit.js';
 import type { Directory, KnownUpstream } from './directory.js';
+import type { EnginePace } from './engine-pace.js';
 import type { EngineQueue } from './engine-queue.js';
+import type { MovedUpstreams } from './moved-upstreams.js';
 import type { OrganisationQuota } from './organisation-quota.js';
 import type { PlacementContext } from './placement.js';
 import type { UpstreamTransport } from './ports.js';
@@ -34,6 +36,10 @@
   readonly retryBudget: RetryBudget;
   readonly coldLimit: ColdLimit;
   readonly health: UpstreamHealth;
+  /** Upstreams whose entry is out of date. */
+  readonly moved: MovedUpstreams;
+  /** Speed of decode engines. */
+  readonly pace: EnginePace;
   /** Requests at plain upstreams, and runs at decode engines with the tokens reserved for them. */
   readonly loads: UpstreamLoads;
   /** Prompts in progress at prefill engines. */
@@ -107,9 +113,10 @@
         // Plain upstreams have no other place to run, so only failed calls count against them.
         isEjected:
           health.isEjected(upstream) ||
-          (upstream.role !== undefined && context.isDataCentreSilent(upstream.dataCentre)),
+          (upstream.role !== undefined && context.isDataCentreSilent(upstream.dataCentre)) ||
+          context.pace.isSlow(upstream.id),
         isCold,
-        isChanging: context.isChanging(upstream),
+        isChanging: context.isChanging(upstream) || context.moved.has(upstream),
         isWithinColdLimit: !isCold || coldLimit.isAllowed(upstream.id, pool.coldRequestsPerSecond),
       };
     },
--- a/packages/serving/src/organisation-quota.ts
+++ b/packages/serving/src/organisation-quota.ts
@@ -17,7 +17,14 @@
 
 const MS_PER_S = 1_000;
 /** Fraction of the tolerated excess by which buckets may be overdrawn. */
-const OVERDRAFT_SHARE = 0.5;
+const OVERDRAFT_SHARE = 0.6;
+/**
+ * The same for small requests. They take a small part of the tokens, so a few large requests do not
+ * cause all small requests of an organisation to be refused.
+ */
+const SMALL_OVERDRAFT_SHARE = 0.75;
+/** Fraction of the burst up to which a request is small. */
+const SMALL_REQUEST_SHARE = 0.02;
 
 /**
  * Interval between two reports of nearby nodes up to which buckets may be overdrawn. With longer
@@ -179,12 +186,13 @@
     }
   };
 
-  const overdraft = ({ ratePerSecond, burst }: ServingOrganisation): number => {
+  const overdraft = ({ ratePerSecond, burst }: ServingOrganisation, tokens: number): number => {
     // The spending of the window before the start is unknown and may have used the tolerance.
     if (monotonicMs() - startedAt < tolerance.windowMs) return 0;
     if (options.reportIntervalMs() > MAX_OVERDRAFT_INTERVAL_MS) return 0;
     const window = ratePerSecond * (tolerance.windowMs / MS_PER_S) + burst;
-    return OVERDRAFT_SHARE * (tolerance.ratio * window + tolerance.allowance);
+    const share = tokens <= burst * SMALL_REQUEST_SHARE ? SMALL_OVERDRAFT_SHARE : OVERDRAFT_SHARE;
+    return share * (tolerance.ratio * window + tolerance.allowance);
   };
 
   return {
@@ -195,7 +203,8 @@
       const share = reachableShare();
       // A request larger than the burst needs only a full bucket, otherwise it could never run.
       const needed = Math.min(tokens, organisation.burst * share);
-      const available = bucket.tokens + (hasFreeCapacity ? overdraft(organisation) * share : 0);
+      const available =
+        bucket.tokens + (hasFreeCapacity ? overdraft(organisation, tokens) * share : 0);
       if (available < needed) {
         const tokensPerMs = (organisation.ratePerSecond * share) / MS_PER_S;
         return { isGranted: false, retryAfterMs: (needed - available) / tokensPerMs };
--- a/packages/serving/src/placement.ts
+++ b/packages/serving/src/placement.ts
@@ -17,7 +17,9 @@
    */
   readonly isWithinColdLimit: boolean;
   readonly isCold: boolean;
-  /** An engine that is changing role gets no requests for its previous role. */
+  /**
+   * Whether the upstream is changing role, or is not what its entry says; it gets no requests then.
+   */
   readonly isChanging: boolean;
 }
 
--- a/packages/serving/src/prefill-prompt.ts
+++ b/packages/serving/src/prefill-prompt.ts
@@ -76,6 +76,7 @@
     if (signal.aborted) return { kind: 'not_prefilled' };
     health.recordFailure(upstream, gotNoResponse(result.error) ? 'no_response' : 'answered');
     failed.add(upstream.id);
+    if (result.error.reason === 'moved') context.moved.record(upstream);
     telemetry.log('prefillFailed', {
       request: req.id,
       upstream: upstream.id,
--- a/packages/serving/src/relay-events.ts
+++ b/packages/serving/src/relay-events.ts
@@ -20,9 +20,11 @@
   outgoing: ServerResponse,
   progress: StreamProgress,
   onFirstEvent: () => void,
+  onPause: (ms: number) => void,
 ): Promise<boolean> {
   const splitter = createEventSplitter();
   let isActive = true;
+  let previousAt: number | undefined;
   const onDrain = (): void => reply.resume();
   outgoing.on('drain', onDrain);
   const isComplete = await reply.read((chunk) => {
@@ -31,7 +33,10 @@
     progress.lastId = block.lastId ?? progress.lastId;
     if (!progress.hasEvents) onFirstEvent();
     progress.hasEvents = true;
-    progress.lastEventAt = monotonicMs();
+    const now = monotonicMs();
+    if (previousAt !== undefined) onPause(now - previousAt);
+    previousAt = now;
+    progress.lastEventAt = now;
     if (!outgoing.write(block.bytes)) reply.pause();
   });
   isActive = false;
--- a/packages/serving/src/serve-plain.ts
+++ b/packages/serving/src/serve-plain.ts
@@ -115,6 +115,7 @@
       continue;
     }
     lastFailure = result.error;
+    if (lastFailure.reason === 'moved') context.moved.record(upstream);
     if (lastFailure.effect === 'not_run') continue;
     effect = 'unknown';
     runs += 1;
--- a/packages/serving/src/serve-stream.ts
+++ b/packages/serving/src/serve-stream.ts
@@ -93,6 +93,7 @@
 async function relay(
   context: ServingContext,
   state: StreamState,
+  upstream: UpstreamId,
   reply: UpstreamReply,
 ): Promise<RunOutcome> {
   const { admitted, progress } = state;
@@ -110,11 +111,14 @@
     return { kind: 'answered' };
   }
   startResponse(outgoing, reply);
-  const isComplete = await relayEvents(reply, outgoing, progress, () => {
+  const onFirstEvent = (): void => {
     const ms = Math.round(monotonicMs() - admitted.startedAt);
     context.telemetry.metrics.firstTokenSeconds.observe({ pool: admitted.pool.id }, ms / 1_000);
     context.telemetry.log('streamStarted', { request: admitted.req.id, ms });
-  });
+  };
+  const isComplete = await relayEvents(reply, outgoing, progress, onFirstEvent, (pauseMs) =>
+    context.pace.record(upstream, pauseMs),
+  );
   if (!isComplete) return broken;
   outgoing.end();
   return { kind: 'answered' };
@@ -150,7 +154,7 @@
   });
   const outcome: RunOutcome = sent.isErr()
     ? { kind: 'failed', failure: sent.error }
-    : await relay(context, state, sent.value);
+    : await relay(context, state, reservation.upstream.id, sent.value);
   stopWatch();
   limit.stop();
   if (outcome.kind === 'answered') health.recordSuccess(reservation.upstream);
@@ -223,6 +227,7 @@
   }
   const outcome = await decode(context, state, reservation, handle);
   if (outcome.kind !== 'failed' || outcome.failure.effect !== 'not_run') return outcome;
+  if (outcome.failure.reason === 'moved') context.moved.record(reservation.upstream);
   if (outcome.failure.reason === 'refused' && handle !== undefined) {
     // The engine may have refused because it could not fetch the KV cache from this prefill engine.
     state.failedPrefill.add(handle.upstream.id);
--- a/packages/serving/src/serving-node.ts
+++ b/packages/serving/src/serving-node.ts
@@ -14,10 +14,12 @@
 import type { EngineReservation, HttpExchange, ServingContext } from './context.js';
 import { createDataCentreContact } from './data-centre-contact.js';
 import { createDirectory } from './directory.js';
+import { createEnginePace } from './engine-pace.js';
 import { createEngineQueue } from './engine-queue.js';
 import type { EngineQueue } from './engine-queue.js';
 import { createLivePeers } from './live-peers.js';
 import { createLeaseObjects } from './lease-objects.js';
+import { createMovedUpstreams } from './moved-upstreams.js';
 import { createNodeRegistry } from './node-registry.js';
 import { createOrganisationQuota } from './organisation-quota.js';
 import type { QuotaTolerance } from './organisation-quota.js';
@@ -108,6 +110,7 @@
   const prefillLoads = createUpstreamLoads();
   const prefillWork = createPrefillWork();
   const health = createUpstreamHealth(telemetry);
+  const pace = createEnginePace();
   const directory = createDirectory(options.decoders, telemetry);
   const queues = new Map<PoolId, EngineQueue<EngineReservation>>();
   const livePeers = createLivePeers();
@@ -184,7 +187,9 @@
       directory.setUpstreams(entries);
       const known = directory.upstreams();
       transport.retain(known);
-      health.retain(new Set<UpstreamId>(known.map(({ id }) => id)));
+      const ids = new Set<UpstreamId>(known.map(({ id }) => id));
+      health.retain(ids);
+      pace.retain(ids);
     },
     onOutOfService: directory.setOutOfService,
     onStoreDelta: notices.forward,
@@ -278,6 +283,8 @@
     }),
     coldLimit: createColdLimit({ self: self.node, nodes: registry.names }),
     health,
+    moved: createMovedUpstreams(),
+    pace,
     loads,
     prefillLoads,
     prefillWork,
--- a/packages/serving/test/organisation-quota.test.ts
+++ b/packages/serving/test/organisation-quota.test.ts
@@ -267,6 +267,22 @@
   expect(quota.debit(organisation, 1_000, false).isGranted).toBe(false);
 });
 
+// Lookups and bookings of an organisation were refused for seconds after a few of its streams.
+test('small requests are granted when large ones have used up the overdraft', () => {
+  const quota = createOrganisationQuota({
+    reachableShare: () => 1,
+    tolerance: TOLERANCE,
+    startedAt: performance.now() - 60_000,
+    epoch: 0,
+    dataCentre: 'a',
+    reportIntervalMs: () => REPORT_MS,
+    usesSummaries: () => false,
+  });
+  while (quota.debit(organisation, STREAM_TOKENS, true).isGranted);
+  expect(quota.debit(organisation, 200, false).isGranted).toBe(false);
+  expect(quota.debit(organisation, 200, true).isGranted).toBe(true);
+});
+
 function createStartedQuota(sinceMs: number): OrganisationQuota {
   return createOrganisationQuota({
     reachableShare: () => 1,
