Prefill resumed streams on idle prefill engines, and bound answers without end

Change: a resumed stream's prompt goes to a prefill engine with at most 15,000 tokens in progress; a stream stalls after two targets of its route (callers leave after four) instead of 1.2 s.

--- a/packages/serving/src/event-splitter.ts
+++ b/packages/serving/src/event-splitter.ts
@@ -3,6 +3,9 @@
 const EVENT_SEPARATOR = '\n\n';
 const ID_LINE = /^id:[ ]?(.*)$/gm;
 
+/** Maximum size of an event; events of a few tokens have some hundred bytes. */
+const MAX_EVENT_BYTES = 1_048_576;
+
 export interface EventBlock {
   /** One or more complete events. */
   readonly bytes: Buffer;
@@ -15,6 +18,8 @@
   push(chunk: Buffer): EventBlock | undefined;
   /** Whether bytes of an incomplete event are buffered. */
   hasPartialEvent(): boolean;
+  /** Whether the incomplete event is longer than any event, so that it may never end. */
+  isEventTooLong(): boolean;
 }
 
 function findLastId(bytes: Buffer): string | undefined {
@@ -40,5 +45,6 @@
       return { bytes: complete, lastId: findLastId(complete) };
     },
     hasPartialEvent: () => partial !== undefined,
+    isEventTooLong: () => partial !== undefined && partial.length > MAX_EVENT_BYTES,
   };
 }
--- a/packages/serving/src/http-exchange.ts
+++ b/packages/serving/src/http-exchange.ts
@@ -27,6 +27,11 @@
  */
 const RESET_CODE = 'ECONNRESET_UPSTREAM';
 
+/** Maximum size of a body that is read into memory; pages of the store have about a megabyte. */
+const MAX_BODY_BYTES = 8 * 1_024 * 1_024;
+/** Maximum size of all bodies in memory, a part of the memory of a small VM. */
+const MAX_BUFFERED_BYTES = 32 * 1_024 * 1_024;
+
 export interface ExchangeCall {
   readonly method: string;
   readonly path: string;
@@ -208,11 +213,32 @@
   });
 }
 
-/** Reads a body into memory. Resolves to `undefined` when the body is incomplete. */
+/** Bytes of all bodies that are being read into memory at the moment. */
+let bufferedBytes = 0;
+
+/**
+ * Reads a body into memory. Resolves to `undefined` when the body is incomplete. A body that is
+ * longer than `MAX_BODY_BYTES`, or for which there is no room beside other bodies, may never end;
+ * its connection is closed.
+ */
 export async function readFullBody(
-  reply: Pick<ExchangeReply, 'read'>,
+  reply: Pick<ExchangeReply, 'read' | 'abort'>,
 ): Promise<Buffer | undefined> {
-  const chunks: Buffer[] = [];
-  const isComplete = await reply.read((chunk) => chunks.push(chunk));
-  return isComplete ? Buffer.concat(chunks) : undefined;
+  let chunks: Buffer[] = [];
+  let length = 0;
+  let isTooLong = false;
+  const isComplete = await reply.read((chunk) => {
+    if (isTooLong) return;
+    length += chunk.length;
+    bufferedBytes += chunk.length;
+    isTooLong = length > MAX_BODY_BYTES || bufferedBytes > MAX_BUFFERED_BYTES;
+    if (!isTooLong) {
+      chunks.push(chunk);
+      return;
+    }
+    chunks = [];
+    reply.abort();
+  });
+  bufferedBytes -= length;
+  return isComplete && !isTooLong ? Buffer.concat(chunks) : undefined;
 }
--- a/packages/serving/src/prefill-prompt.ts
+++ b/packages/serving/src/prefill-prompt.ts
@@ -13,6 +13,13 @@
 /** Time-out of a prefill call. The reservation on the decode engine expires soon after. */
 const PREFILL_TIMEOUT_MS = 1_500;
 
+/**
+ * Prompt tokens in progress at a prefill engine up to which prompts of resumed streams go there.
+ * After an outage callers resume their streams all at once; prefill engines alone would need seconds
+ * for them, and decode engines alone would pause all their streams meanwhile.
+ */
+const MAX_TOKENS_BEFORE_RESUMED = 15_000;
+
 export type PrefillOutcome =
   | { readonly kind: 'prefilled'; readonly handle: KvHandle }
   /** No prefill engine could prefill the prompt; the decode engine can do so itself. */
@@ -23,19 +30,20 @@
 /**
  * Prefills the prompt of a request on a prefill engine. The first call that an engine accepts does
  * not use the retry budget. A failed call counts as a retry, whether another prefill or the run
- * itself follows. So does prefilling a prompt again (`isRetry`).
+ * itself follows. So does prefilling a prompt again (`isRetry`). The prompt of a stream that a caller
+ * resumes (`isResumed`) does not wait for busy prefill engines.
  */
 export async function prefillPrompt(
   context: ServingContext,
   admitted: AdmittedRequest,
   reservation: EngineReservation,
   failed: Set<UpstreamId>,
-  isRetry: boolean,
+  use: { readonly isRetry: boolean; readonly isResumed: boolean },
 ): Promise<PrefillOutcome> {
   const { directory, transport, prefillLoads, health, retryBudget, coldLimit, telemetry } = context;
   const { pool, req, body, route, signal } = admitted;
   const promptTokens = req.usage?.promptTokens ?? 0;
-  if (isRetry && !retryBudget.take(pool.id)) return { kind: 'budget_exhausted' };
+  if (use.isRetry && !retryBudget.take(pool.id)) return { kind: 'budget_exhausted' };
   for (let attempts = 0; attempts < MAX_PREFILL_ATTEMPTS && !signal.aborted; attempts += 1) {
     const placement = createPlacementContext(context, pool, prefillLoads, failed);
     const ranked = rankPrefill(
@@ -45,6 +53,9 @@
     );
     const [upstream] = ranked;
     if (upstream === undefined) return { kind: 'not_prefilled' };
+    if (use.isResumed && prefillLoads.tokens(upstream.id) > MAX_TOKENS_BEFORE_RESUMED) {
+      return { kind: 'not_prefilled' };
+    }
     const release = prefillLoads.begin(upstream.id, promptTokens);
     const limit = startTimeLimit(signal, PREFILL_TIMEOUT_MS);
     const startedAt = monotonicMs();
--- a/packages/serving/src/relay-events.ts
+++ b/packages/serving/src/relay-events.ts
@@ -28,8 +28,13 @@
   const onDrain = (): void => reply.resume();
   outgoing.on('drain', onDrain);
   const isComplete = await reply.read((chunk) => {
+    if (!isActive || outgoing.destroyed) return;
     const block = splitter.push(chunk);
-    if (block === undefined || !isActive || outgoing.destroyed) return;
+    if (splitter.isEventTooLong()) {
+      isActive = false;
+      reply.abort();
+    }
+    if (block === undefined) return;
     progress.lastId = block.lastId ?? progress.lastId;
     if (!progress.hasEvents) onFirstEvent();
     progress.hasEvents = true;
@@ -39,7 +44,8 @@
     progress.lastEventAt = now;
     if (!outgoing.write(block.bytes)) reply.pause();
   });
+  const wasAborted = !isActive;
   isActive = false;
   outgoing.off('drain', onDrain);
-  return isComplete && !splitter.hasPartialEvent();
+  return isComplete && !wasAborted && !splitter.hasPartialEvent();
 }
--- a/packages/serving/src/serve-stream.ts
+++ b/packages/serving/src/serve-stream.ts
@@ -19,8 +19,12 @@
 
 /** Maximum number of sends of one request, including those that the upstream refuses. */
 const MAX_SENDS = 4;
-/** Time without an event after which a resumable stream continues on another engine. */
-const STALL_LIMIT_MS = 1_200;
+/**
+ * Time without an event after which a resumable stream continues on another engine, in targets of
+ * the route. Callers disconnect after four; an engine that prefills several prompts at a time pauses
+ * its streams for more than one.
+ */
+const STALL_LIMIT_TARGETS = 2;
 const STALL_CHECK_INTERVAL_MS = 200;
 /** Fraction of a KV cache's lifetime in which its handle is still sent to an engine. */
 const HANDLE_REUSE_SHARE = 0.6;
@@ -84,8 +88,9 @@
   const { progress, admitted } = state;
   if (!admitted.route.isResumable) return () => {};
   progress.lastEventAt = monotonicMs();
+  const limitMs = admitted.route.targetMs * STALL_LIMIT_TARGETS;
   const timer = setInterval(() => {
-    if (monotonicMs() - progress.lastEventAt > STALL_LIMIT_MS) abort();
+    if (monotonicMs() - progress.lastEventAt > limitMs) abort();
   }, STALL_CHECK_INTERVAL_MS);
   return () => clearInterval(timer);
 }
@@ -178,13 +183,10 @@
   state.unfetchedKv = undefined;
   if (unfetchedKv !== undefined && monotonicMs() < unfetchedKv.until)
     return { kind: 'prefilled', handle: unfetchedKv.handle };
-  const prefilled = await prefillPrompt(
-    context,
-    admitted,
-    reservation,
-    failedPrefill,
-    state.wasPrefilled,
-  );
+  const prefilled = await prefillPrompt(context, admitted, reservation, failedPrefill, {
+    isRetry: state.wasPrefilled,
+    isResumed: admitted.req.lastEventId !== undefined,
+  });
   if (prefilled.kind === 'prefilled') state.wasPrefilled = true;
   return prefilled;
 }
@@ -196,8 +198,8 @@
 ): Promise<RunOutcome> {
   const { transport, directory } = context;
   const { admitted, progress } = state;
-  const isContinued = progress.hasEvents || admitted.req.lastEventId !== undefined;
-  const prefilled: PrefillOutcome = isContinued
+  // Another prefill would use the retry budget twice for a stream that continues here.
+  const prefilled: PrefillOutcome = progress.hasEvents
     ? { kind: 'not_prefilled' }
     : await obtainKvHandle(context, state, reservation);
   const handle = prefilled.kind === 'prefilled' ? prefilled.handle : undefined;
--- a/packages/serving/test/http-exchange.test.ts
+++ b/packages/serving/test/http-exchange.test.ts
@@ -71,3 +71,64 @@
   });
   expect(await fetchBody(address)).toBeUndefined();
 });
+
+const MEBIBYTE = 1_024 * 1_024;
+
+/** Writes a block again and again until the other side closes, and counts the bytes written. */
+function writeWithoutEnd(socket: Socket, block: Buffer, count: { bytes: number }): void {
+  const write = (): void => {
+    while (!socket.destroyed) {
+      count.bytes += block.length;
+      if (!socket.write(block)) return;
+    }
+  };
+  socket.on('drain', write);
+  write();
+}
+
+// Bytes without end would otherwise fill the memory of the node until it is killed.
+test.each([
+  ['a head', '', `x-more: ${'a'.repeat(1_000)}\r\n`],
+  ['a body without a length', '\r\n', 'a'.repeat(65_536)],
+  ['a chunked body', 'transfer-encoding: chunked\r\n\r\n', `10000\r\n${'a'.repeat(65_536)}\r\n`],
+])('%s without end is refused and its connection closed', async (_, start, block) => {
+  const count = { bytes: 0 };
+  let closed: Promise<void> | undefined;
+  const address = await listen((socket) => {
+    closed = new Promise((resolve) => {
+      socket.once('close', () => resolve());
+    });
+    socket.write(`HTTP/1.1 200 OK\r\n${start}`);
+    writeWithoutEnd(socket, Buffer.from(block), count);
+  });
+  expect(await fetchBody(address)).toBeUndefined();
+  await closed;
+  expect(count.bytes).toBeLessThan(32 * MEBIBYTE);
+});
+
+test('bodies without end together take a bounded part of the memory', async () => {
+  const count = { bytes: 0 };
+  const address = await listen((socket) => {
+    socket.write('HTTP/1.1 200 OK\r\n\r\n');
+    writeWithoutEnd(socket, Buffer.alloc(65_536), count);
+  });
+  const before = process.memoryUsage.rss();
+  const bodies = await Promise.all(Array.from({ length: 40 }, () => fetchBody(address)));
+  expect(bodies.every((body) => body === undefined)).toBe(true);
+  expect(process.memoryUsage.rss() - before).toBeLessThan(256 * MEBIBYTE);
+});
+
+test('a body that is read after bodies without end is complete', async () => {
+  let connections = 0;
+  const address = await listen((socket) => {
+    connections += 1;
+    if (connections > 3) {
+      socket.end('HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok');
+      return;
+    }
+    socket.write('HTTP/1.1 200 OK\r\n\r\n');
+    writeWithoutEnd(socket, Buffer.alloc(65_536), { bytes: 0 });
+  });
+  for (let body = 0; body < 3; body += 1) expect(await fetchBody(address)).toBeUndefined();
+  expect((await fetchBody(address))?.toString()).toBe('ok');
+});
--- a/packages/serving/test/serve-stream.test.ts
+++ b/packages/serving/test/serve-stream.test.ts
@@ -190,3 +190,44 @@
   expect(countRetries(transport, REQUESTS, REQUESTS)).toBeLessThanOrEqual(MAX_RETRIES);
   expect([...statuses]).toEqual([503]);
 });
+
+// A server in trouble may send bytes without end that never become an event.
+test('a stream whose event never ends is broken off before it fills the memory', async () => {
+  const transport = createFakeTransport();
+  let sent = 0;
+  let aborted = false;
+  transport.reply = async () =>
+    ok({
+      ...createReply([]),
+      read: async (onData) => {
+        while (!aborted && sent < 64 * 1_024 * 1_024) {
+          onData(Buffer.alloc(65_536, 'a'));
+          sent += 65_536;
+        }
+        return false;
+      },
+      abort: () => {
+        aborted = true;
+      },
+    });
+  const started = await startEngines(transport);
+  const res = await post(started, '/note/1');
+  await expect(res.text()).rejects.toThrow();
+  expect(aborted).toBe(true);
+  expect(sent).toBeLessThan(4 * 1_024 * 1_024);
+});
+
+// After an outage all callers resume their streams at once; decode engines that prefill all of these
+// prompts themselves pause their other streams for seconds.
+test('the prompt of a stream that a caller resumes goes to an idle prefill engine', async () => {
+  const transport = createFakeTransport();
+  transport.reply = async () => ok(createReply([event(8)]));
+  const started = await startEngines(transport);
+  const res = await fetch(`${started.url}/resumable/1`, {
+    method: 'POST',
+    body: 'prompt',
+    headers: { authorization: 'Bearer key-1', 'x-usage': '5000,800', 'last-event-id': '7' },
+  });
+  expect(await res.text()).toBe(event(8));
+  expect(transport.sends[0]).toMatchObject({ kvSource: { handle: 'handle' }, lastEventId: '7' });
+});
