Keep live nodes of large fleets registered, and count them for the rates from the start

Cause, by reading and shown by tests: at 195 nodes a remote node reports every 26 s, but a node removed the registry entries of all nodes that it had not heard for 25 s since it first read them; these registered again, which each cost two calls to the store. A process that started in a fleet of 80 or 195 nodes gave organisations only the share of the nodes that it had heard. Change: an entry is removed after 1.5 time-outs of a remote peer, 25 s at least; in a large fleet nodes of data centres that are heard count as reachable until they time out. Small fleets keep the strict rule.

--- a/packages/serving/src/data-centre-contact.ts
+++ b/packages/serving/src/data-centre-contact.ts
@@ -6,7 +6,8 @@
  */
 import { monotonicMs } from '@hibiscusbank/core';
 import type { Telemetry } from '@hibiscusbank/core';
-import { remoteReportIntervalMs } from './peer-reports.js';
+import type { LivePeers } from './live-peers.js';
+import { isLargeFleet, remoteReportIntervalMs } from './peer-reports.js';
 import type { KnownPeer } from './peer-reports.js';
 
 /** A lost report or a short pause of a process is not silence. */
@@ -22,6 +23,8 @@
   record(dataCentre: string | undefined): void;
   /** Returns the data centres that became silent. Called with each round of reports. */
   check(): readonly string[];
+  /** Whether a data centre is the local one, or reports of it were received recently. */
+  isHeard(dataCentre: string | undefined): boolean;
   /** Whether reports of a data centre were received before, but not recently. */
   isSilent(dataCentre: string | undefined): boolean;
 }
@@ -47,6 +50,9 @@
   const silent = new Set<string>();
 
   return {
+    isHeard: (dataCentre) =>
+      dataCentre === local ||
+      (dataCentre !== undefined && heardAt.has(dataCentre) && !silent.has(dataCentre)),
     isSilent: (dataCentre) => dataCentre !== undefined && silent.has(dataCentre),
     record: (dataCentre) => {
       if (dataCentre === undefined || dataCentre === local) return;
@@ -73,3 +79,22 @@
     },
   };
 }
+
+/**
+ * Returns the fraction of the registered nodes that this node has contact with, itself included. In a
+ * large fleet a new process hears single nodes only after seconds; until then it takes nodes of the
+ * data centres that it hears for reachable.
+ */
+export function computeReachableShare(view: {
+  readonly peers: readonly KnownPeer[];
+  readonly livePeers: Pick<LivePeers, 'has' | 'hasTimedOut'>;
+  readonly contact: Pick<DataCentreContact, 'isHeard'>;
+}): number {
+  const { peers, livePeers, contact } = view;
+  const isLarge = isLargeFleet(peers.length + 1);
+  const reachable = peers.filter(({ node, dataCentre }) => {
+    if (!contact.isHeard(dataCentre)) return false;
+    return livePeers.has(node) || (isLarge && !livePeers.hasTimedOut(node));
+  });
+  return (reachable.length + 1) / (peers.length + 1);
+}
--- a/packages/serving/src/live-peers.ts
+++ b/packages/serving/src/live-peers.ts
@@ -8,6 +8,8 @@
   /** Removes peers whose last contact is longer ago than `timeoutMs` and returns their names. */
   dropTimedOut(timeoutMs: (peer: PeerReport) => number): readonly string[];
   has(node: string): boolean;
+  /** Whether a node timed out and has not reported since. */
+  hasTimedOut(node: string): boolean;
   reports(): readonly PeerReport[];
 }
 
@@ -18,11 +20,14 @@
 
 export function createLivePeers(): LivePeers {
   const lastReports = new Map<string, { readonly report: PeerReport; readonly at: number }>();
+  const timedOutNodes = new Set<string>();
   return {
+    hasTimedOut: (node) => timedOutNodes.has(node),
     record: (report) => {
       const known = lastReports.get(report.node)?.report;
       if (known !== undefined && isOlder(report, known)) return false;
       lastReports.set(report.node, { report, at: monotonicMs() });
+      timedOutNodes.delete(report.node);
       return true;
     },
     dropTimedOut: (timeoutMs) => {
@@ -30,7 +35,10 @@
       const timedOut = [...lastReports]
         .filter(([, { at, report }]) => now - at > timeoutMs(report))
         .map(([node]) => node);
-      for (const node of timedOut) lastReports.delete(node);
+      for (const node of timedOut) {
+        lastReports.delete(node);
+        timedOutNodes.add(node);
+      }
       return timedOut;
     },
     has: (node) => lastReports.has(node),
--- a/packages/serving/src/node-registry.ts
+++ b/packages/serving/src/node-registry.ts
@@ -7,8 +7,10 @@
 /** Interval between two reads of the registry. */
 const READ_INTERVAL_MS = 2_000;
 const RETRY_INTERVAL_MS = 250;
-/** Time without contact to another node after which this node removes that node's entry. */
-const REMOVE_AFTER_MS = 25_000;
+/** Minimum time without contact to another node after which this node removes that node's entry. */
+const MIN_REMOVE_AFTER_MS = 25_000;
+/** The same in time-outs of a peer. In a large fleet a first report of a peer takes that long. */
+const REMOVE_AFTER_TIMEOUTS = 1.5;
 
 export interface NodeRegistry {
   /** Returns the registered nodes without this one. */
@@ -23,6 +25,8 @@
   readonly store: EntryStore;
   readonly telemetry: Telemetry;
   readonly isReachable: (node: string) => boolean;
+  /** Returns the time-out of the peer that reports least often, in a fleet of `fleet` nodes. */
+  readonly peerTimeoutMs: (fleet: number) => number;
 }
 
 function decodePeer({ name, value }: StoredEntry): KnownPeer | undefined {
@@ -48,6 +52,9 @@
     return (await store.write(self.node, value, revision)).isOk();
   };
 
+  const removeAfterMs = (fleet: number): number =>
+    Math.max(MIN_REMOVE_AFTER_MS, options.peerTimeoutMs(fleet) * REMOVE_AFTER_TIMEOUTS);
+
   const removeUnreachable = async (entries: readonly StoredEntry[]): Promise<void> => {
     for (const entry of entries) {
       if (entry.name === self.node || isReachable(entry.name)) {
@@ -56,7 +63,7 @@
       }
       const since = unreachableSince.get(entry.name) ?? monotonicMs();
       unreachableSince.set(entry.name, since);
-      if (monotonicMs() - since < REMOVE_AFTER_MS) continue;
+      if (monotonicMs() - since < removeAfterMs(entries.length)) continue;
       const removed = await store.remove(entry.name, entry.revision);
       telemetry.log('nodeForgotten', { peer: entry.name, removed: removed.isOk() });
     }
--- a/packages/serving/src/peer-reports.ts
+++ b/packages/serving/src/peer-reports.ts
@@ -141,6 +141,11 @@
   return reportIntervalMs(count, REMOTE_REPORTS_PER_S, fleet);
 }
 
+/** Returns the time without a report after which a remote peer times out, at most. */
+export function remoteTimeoutMs(count: number, fleet: number): number {
+  return Math.max(MIN_TIMEOUT_MS, remoteReportIntervalMs(count, fleet) * TIMEOUT_INTERVALS);
+}
+
 /** Creates the exchange of reports of one node. */
 export function createPeerReports(options: PeerReportsOptions): PeerReports {
   const { self, startedAt, livePeers, datagrams, peers, telemetry } = options;
@@ -162,10 +167,10 @@
     const fleet = localCount + remoteCount + 1;
     const localTimeoutMs =
       reportIntervalMs(localCount, localRotation.perSecond, fleet) * TIMEOUT_INTERVALS;
-    const remoteTimeoutMs =
-      reportIntervalMs(remoteCount, remoteRotation.perSecond, fleet) * TIMEOUT_INTERVALS;
     const timedOut = livePeers.dropTimedOut((peer) =>
-      Math.max(MIN_TIMEOUT_MS, isLocal(peer) ? localTimeoutMs : remoteTimeoutMs),
+      isLocal(peer)
+        ? Math.max(MIN_TIMEOUT_MS, localTimeoutMs)
+        : remoteTimeoutMs(remoteCount, fleet),
     );
     for (const node of timedOut) {
       telemetry.log('peerSilent', { peer: node });
--- a/packages/serving/src/serving-node.ts
+++ b/packages/serving/src/serving-node.ts
@@ -12,7 +12,7 @@
 import { createChangingRoles } from './changing-roles.js';
 import { createColdLimit } from './cold-limit.js';
 import type { EngineReservation, HttpExchange, ServingContext } from './context.js';
-import { createDataCentreContact } from './data-centre-contact.js';
+import { computeReachableShare, createDataCentreContact } from './data-centre-contact.js';
 import { createDirectory } from './directory.js';
 import { createEnginePace } from './engine-pace.js';
 import { createEngineQueue } from './engine-queue.js';
@@ -25,7 +25,12 @@
 import type { QuotaTolerance } from './organisation-quota.js';
 import { createPeerDatagrams } from './peer-datagrams.js';
 import { createPeerLists } from './peer-lists.js';
-import { createPeerReports, isLargeFleet, localReportIntervalMs } from './peer-reports.js';
+import {
+  createPeerReports,
+  isLargeFleet,
+  localReportIntervalMs,
+  remoteTimeoutMs,
+} from './peer-reports.js';
 import type { KnownPeer } from './peer-reports.js';
 import type { EntryDecoders, EntryStore, UpstreamTransport } from './ports.js';
 import { createPrefillWork } from './prefill-work.js';
@@ -127,6 +132,7 @@
     store: stores.nodes,
     telemetry,
     isReachable: livePeers.has,
+    peerTimeoutMs: (fleet) => remoteTimeoutMs(fleet, fleet),
   });
 
   const recipients = (): readonly KnownPeer[] => {
@@ -152,14 +158,8 @@
     peers: recipients,
     telemetry,
   });
-  /** Fraction of the registered nodes that this node has contact with, itself included. */
-  const reachableShare = (): number => {
-    const known = registry.peers();
-    const reachable = known.filter(
-      ({ node, dataCentre }) => livePeers.has(node) && !contact.isSilent(dataCentre),
-    );
-    return (reachable.length + 1) / (known.length + 1);
-  };
+  const reachableShare = (): number =>
+    computeReachableShare({ peers: registry.peers(), livePeers, contact });
   const quota = createOrganisationQuota({
     reachableShare,
     tolerance: options.quotaTolerance,
--- a/packages/serving/test/data-centre-contact.test.ts
+++ b/packages/serving/test/data-centre-contact.test.ts
@@ -1,6 +1,10 @@
 import { createTelemetry, dataCentreId, upstreamId } from '@hibiscusbank/core';
 import { afterEach, beforeEach, expect, test, vi } from 'vitest';
-import { createDataCentreContact, silenceLimitMs } from '../src/data-centre-contact.js';
+import {
+  computeReachableShare,
+  createDataCentreContact,
+  silenceLimitMs,
+} from '../src/data-centre-contact.js';
 import { rankDecode, rankPrefill } from '../src/placement.js';
 import type { CandidateState } from '../src/placement.js';
 import { createUpstreamHealth } from '../src/upstream-health.js';
@@ -61,6 +65,27 @@
   expect(contact.isSilent('b')).toBe(false);
 });
 
+// A process that started in a large fleet held organisations to the share of the few nodes that it had
+// heard, for up to 26 s.
+test('a new process of a large fleet counts the nodes of data centres that it hears', () => {
+  const share = (nodes: number, heard: readonly string[], timedOut: readonly string[] = []) =>
+    computeReachableShare({
+      peers: Array.from({ length: nodes - 1 }, (_, index) => ({
+        node: `n${index}`,
+        host: '10.0.0.1',
+        port: index,
+        dataCentre: index % 2 === 0 ? 'a' : 'b',
+      })),
+      livePeers: { has: (node) => node === 'n1', hasTimedOut: (node) => timedOut.includes(node) },
+      contact: { isHeard: (dataCentre) => heard.includes(dataCentre ?? '') },
+    });
+  expect(share(81, ['a', 'b'])).toBe(1);
+  expect(share(81, ['a', 'b'], ['n2', 'n4'])).toBeCloseTo(79 / 81);
+  expect(share(81, ['a'])).toBeCloseTo(41 / 81);
+  // In a small fleet every node reports each interval, so one that was not heard is out of contact.
+  expect(share(7, ['a', 'b'])).toBeCloseTo(2 / 7);
+});
+
 function createState(change: Partial<CandidateState>): CandidateState {
   return {
     requests: 0,
