Report an unknown outcome when one of two failed hedged attempts may have run

Cause: the result of the attempt that failed later replaced that of the first, so 'not run' could hide a run. Change: when both fail, a failure with an unknown effect wins. The test fails without it.

--- a/packages/gateway/src/plain-attempt.ts
+++ b/packages/gateway/src/plain-attempt.ts
@@ -115,7 +115,11 @@
     second.then((result) => ({ result, isFirst: false })),
   ]);
   const loser = winner.isFirst ? second : first;
-  if (winner.result.isErr()) return loser;
+  if (winner.result.isErr()) {
+    const other = await loser;
+    // When both fail, the request may have run if either attempt may have.
+    return other.isErr() && other.error.error.effect === 'not_run' ? winner.result : other;
+  }
   (winner.isFirst ? hedgeAbort : firstAbort).abort();
   discardAnswer(exchange, loser);
   return winner.result;
--- a/packages/gateway/test/plain.test.ts
+++ b/packages/gateway/test/plain.test.ts
@@ -127,6 +127,24 @@
   ]);
 });
 
+// The refusal of the second attempt hid that the first one may have run.
+test('when both hedged attempts fail and one may have run, the outcome is unknown', async () => {
+  const harness = createHarness(
+    (_call, count) =>
+      new Promise((resolve) => {
+        const effect = count === 1 ? 'unknown' : 'not_run';
+        const error = createError('upstream_failed', 'reset', { effect });
+        setTimeout(() => resolve(error), count === 1 ? 30 : 60);
+      }),
+    createRoute({ urgency: 'urgent', timeLimitMs: 120 }),
+  );
+  for (let i = 0; i < 64; i += 1) harness.latencyWindow.record(10);
+  const served = harness.serve();
+  await vi.advanceTimersByTimeAsync(5_000);
+  await served;
+  expect(harness.text()).toContain('"outcome":"unknown"');
+});
+
 test('a non-idempotent request never gets a hedged second attempt', async () => {
   const harness = createHarness(
     () =>
