Test that trickling streams move on and slow sound ones are not cut

Here only whole events count as progress, so a byte now and then does not keep a resumable stream on its engine, and a stream whose events keep coming is not cut however long it takes. No change of code.

--- a/packages/serving/test/serve-stream.test.ts
+++ b/packages/serving/test/serve-stream.test.ts
@@ -4,6 +4,7 @@
 import {
   createFakeTransport,
   createReply,
+  createTables,
   createTestStores,
   createUpstream,
   enginePool,
@@ -231,3 +232,62 @@
   expect(await res.text()).toBe(event(8));
   expect(transport.sends[0]).toMatchObject({ kvSource: { handle: 'handle' }, lastEventId: '7' });
 });
+
+/** Starts engines behind a resumable route whose streams stall after 500 ms without an event. */
+async function startWithShortTarget(transport: FakeTransport): Promise<TestNode> {
+  const tables = createTables();
+  const routes = tables.routes.map((route) => ({ ...route, targetMs: 250 }));
+  const stores = createTestStores({ ...tables, routes });
+  for (const name of ['d1', 'd2', 'd3']) {
+    stores.upstreams.put(name, createUpstream(name, { pool: enginePool, role: 'decode' }));
+  }
+  const started = await startTestNode(stores, transport);
+  await waitUntilReady(started);
+  return started;
+}
+
+/** Replies with `chunks`, one every `pauseMs`, until all are sent or the send is aborted. */
+function replySlowly(chunks: () => string | undefined, pauseMs: number): FakeTransport['reply'] {
+  return async ({ signal }) =>
+    ok({
+      ...createReply([]),
+      read: (onData) =>
+        new Promise((resolve) => {
+          const timer = setInterval(() => {
+            const chunk = chunks();
+            if (chunk !== undefined && !signal.aborted) {
+              onData(Buffer.from(chunk));
+              return;
+            }
+            clearInterval(timer);
+            resolve(!signal.aborted);
+          }, pauseMs);
+        }),
+    });
+}
+
+// An engine that sends a byte now and then kept its callers waiting until their deadline.
+test('a stream that sends bytes but no event continues on another engine', async () => {
+  const transport = createFakeTransport();
+  const trickle = replySlowly(() => 'd', 5);
+  transport.reply = (send) =>
+    transport.sends.length === 1 ? trickle(send) : Promise.resolve(ok(createReply([event(1)])));
+  const started = await startWithShortTarget(transport);
+  const res = await post(started, '/resumable/1');
+  expect(await res.text()).toBe(event(1));
+  expect(transport.sends).toHaveLength(2);
+});
+
+test('a slow stream whose events keep coming is not cut', async () => {
+  const transport = createFakeTransport();
+  let sent = 0;
+  const next = (): string | undefined => {
+    sent += 1;
+    return sent <= 16 ? event(sent) : undefined;
+  };
+  transport.reply = replySlowly(next, 40);
+  const started = await startWithShortTarget(transport);
+  const res = await post(started, '/resumable/1');
+  expect(await res.text()).toContain(event(16));
+  expect(transport.sends).toHaveLength(1);
+});
