Bound the wait of prompts for prefill engines by the target of their route

Change: a node estimates the rate of prefill engines from its fastest calls; a prompt that would wait over half of the target of its route, 0.3 for resumed streams, is prefilled by its decode engine.

--- a/packages/serving/src/context.ts
+++ b/packages/serving/src/context.ts
@@ -16,6 +16,7 @@
 import type { OrganisationQuota } from './organisation-quota.js';
 import type { PlacementContext } from './placement.js';
 import type { UpstreamTransport } from './ports.js';
+import type { PrefillRate } from './prefill-rate.js';
 import type { PrefillWork } from './prefill-work.js';
 import type { RetryBudget } from './retry-budget.js';
 import type {
@@ -46,6 +47,7 @@
   readonly prefillLoads: UpstreamLoads;
   readonly queueFor: (pool: PoolId) => EngineQueue<EngineReservation>;
   readonly prefillWork: Pick<PrefillWork, 'record'>;
+  readonly prefillRate: PrefillRate;
   /** Whether the nodes of a data centre no longer report, so that it may be cut off. */
   readonly isDataCentreSilent: (dataCentre: DataCentreId) => boolean;
   /** Whether an engine was ordered to change role and still has its previous role. */
--- a/packages/serving/src/prefill-prompt.ts
+++ b/packages/serving/src/prefill-prompt.ts
@@ -14,11 +14,16 @@
 const PREFILL_TIMEOUT_MS = 1_500;
 
 /**
- * Prompt tokens in progress at a prefill engine up to which prompts of resumed streams go there.
- * After an outage callers resume their streams all at once; prefill engines alone would need seconds
- * for them, and decode engines alone would pause all their streams meanwhile.
+ * Fraction of a route's target that a prompt may wait for prefill engines. With a longer wait the
+ * first event would miss the target, so the decode engine prefills the prompt itself. Designed for
+ * bursts, and for pools that have just lost a prefill engine.
  */
-const MAX_TOKENS_BEFORE_RESUMED = 15_000;
+const MAX_WAIT_TARGET_SHARE = 0.5;
+/**
+ * The same for streams that callers resume. After an outage they resume all at once; prefill engines
+ * alone would need seconds for them, and decode engines alone would pause all their streams meanwhile.
+ */
+const MAX_RESUMED_WAIT_TARGET_SHARE = 0.3;
 
 export type PrefillOutcome =
   | { readonly kind: 'prefilled'; readonly handle: KvHandle }
@@ -30,8 +35,7 @@
 /**
  * Prefills the prompt of a request on a prefill engine. The first call that an engine accepts does
  * not use the retry budget. A failed call counts as a retry, whether another prefill or the run
- * itself follows. So does prefilling a prompt again (`isRetry`). The prompt of a stream that a caller
- * resumes (`isResumed`) does not wait for busy prefill engines.
+ * itself follows. So does prefilling a prompt again (`isRetry`).
  */
 export async function prefillPrompt(
   context: ServingContext,
@@ -44,6 +48,8 @@
   const { pool, req, body, route, signal } = admitted;
   const promptTokens = req.usage?.promptTokens ?? 0;
   if (use.isRetry && !retryBudget.take(pool.id)) return { kind: 'budget_exhausted' };
+  const maxWaitShare = use.isResumed ? MAX_RESUMED_WAIT_TARGET_SHARE : MAX_WAIT_TARGET_SHARE;
+  const maxWaitMs = route.targetMs * maxWaitShare;
   for (let attempts = 0; attempts < MAX_PREFILL_ATTEMPTS && !signal.aborted; attempts += 1) {
     const placement = createPlacementContext(context, pool, prefillLoads, failed);
     const ranked = rankPrefill(
@@ -53,9 +59,8 @@
     );
     const [upstream] = ranked;
     if (upstream === undefined) return { kind: 'not_prefilled' };
-    if (use.isResumed && prefillLoads.tokens(upstream.id) > MAX_TOKENS_BEFORE_RESUMED) {
-      return { kind: 'not_prefilled' };
-    }
+    const waitMs = context.prefillRate.waitMs(pool.id, prefillLoads.tokens(upstream.id));
+    if (waitMs > maxWaitMs) return { kind: 'not_prefilled' };
     const release = prefillLoads.begin(upstream.id, promptTokens);
     const limit = startTimeLimit(signal, PREFILL_TIMEOUT_MS);
     const startedAt = monotonicMs();
@@ -76,6 +81,7 @@
     if (result.isOk()) {
       health.recordSuccess(upstream);
       context.prefillWork.record(pool.id, monotonicMs() - startedAt);
+      context.prefillRate.record(pool.id, promptTokens, monotonicMs() - startedAt);
       telemetry.log('promptRead', {
         request: req.id,
         upstream: upstream.id,
--- a/packages/serving/src/serving-node.ts
+++ b/packages/serving/src/serving-node.ts
@@ -33,6 +33,7 @@
 } from './peer-reports.js';
 import type { KnownPeer } from './peer-reports.js';
 import type { EntryDecoders, EntryStore, UpstreamTransport } from './ports.js';
+import { createPrefillRate } from './prefill-rate.js';
 import { createPrefillWork } from './prefill-work.js';
 import { createRetryBudget } from './retry-budget.js';
 import { createRoleOrders } from './role-orders.js';
@@ -288,6 +289,7 @@
     loads,
     prefillLoads,
     prefillWork,
+    prefillRate: createPrefillRate(),
     isDataCentreSilent: contact.isSilent,
     isChanging: changing.isChanging,
     queueFor: (pool) => {
--- a/packages/serving/test/serve-stream.test.ts
+++ b/packages/serving/test/serve-stream.test.ts
@@ -291,3 +291,22 @@
   expect(await res.text()).toContain(event(16));
   expect(transport.sends).toHaveLength(1);
 });
+
+// When a pool lost one of two prefill engines, prompts waited over 1.5 s at the other one and the calls
+// were given up, while decode engines were idle.
+test('prompts do not queue at a prefill engine for longer than their target allows', async () => {
+  const transport = createFakeTransport();
+  transport.reply = async () => ok(createReply([event(1)]));
+  const finish: (() => void)[] = [];
+  transport.prefillReply = (send) =>
+    new Promise((resolve) => {
+      finish.push(() => resolve(ok({ upstream: send.upstream, handle: 'handle' })));
+    });
+  const started = await startEngines(transport);
+  const responses = Array.from({ length: 20 }, (_, index) => post(started, `/note/${index}`));
+  // Two engines take prompts of 5,000 tokens up to half of the target of 900 ms at 30 tokens/ms.
+  await waitUntil(() => transport.sends.length + finish.length === 20);
+  expect(finish).toHaveLength(6);
+  for (const end of finish) end();
+  for (const res of await Promise.all(responses)) expect(await res.text()).toBe(event(1));
+});
