--- a/packages/gateway/src/http-server.ts
+++ b/packages/gateway/src/http-server.ts
@@ -2,11 +2,14 @@
 import { createServer } from 'node:http';
 import type { Server } from 'node:http';
 import type { AddressInfo } from 'node:net';
+import { monotonicMs } from '@hibiscusbank/core';
 import { getRequestListener } from '@hono/node-server';
 
 export interface HttpServer {
   /** Starts to listen; rejects if the address is in use. */
   start(): Promise<void>;
+  /** Returns the time since the last connection was accepted, Infinity before the first. */
+  sinceLastConnectionMs(): number;
   /** Returns the port that the server listens on, or 0 while it does not listen. */
   port(): number;
   /** Stops listening and waits for running responses. */
@@ -27,6 +30,7 @@
   options: HttpServerOptions = {},
 ): HttpServer {
   let server: Server | undefined;
+  let lastConnectionAt = -Infinity;
 
   const close = (): Promise<void> => {
     const closingServer = server;
@@ -45,6 +49,9 @@
         server = createServer((req, res) => {
           void listener(req, res);
         });
+        server.on('connection', () => {
+          lastConnectionAt = monotonicMs();
+        });
         const { idleTimeoutMs } = options;
         if (idleTimeoutMs !== undefined) {
           const newServer = server;
@@ -56,6 +63,7 @@
         server.once('error', reject);
         server.listen(listen.port, listen.host, () => resolve());
       }),
+    sinceLastConnectionMs: () => monotonicMs() - lastConnectionAt,
     port: () => (server?.address() as AddressInfo | null)?.port ?? 0,
     close,
     kill: async () => {
--- a/packages/serving/test/drain.test.ts
+++ b/packages/serving/test/drain.test.ts
@@ -1,3 +1,6 @@
+import { once } from 'node:events';
+import { connect } from 'node:net';
+import { sleep } from '@hibiscusbank/core';
 import { Agent, request } from 'node:http';
 import type { IncomingMessage } from 'node:http';
 import { ok } from 'neverthrow';
@@ -80,3 +83,74 @@
   await drained;
   agent.destroy();
 });
+
+type Outcome = 'answered' | 'refused' | 'cut';
+
+/** Sends one request on a connection of its own. */
+function sendOnNewConnection(port: number): Promise<Outcome> {
+  return new Promise((resolve) => {
+    const socket = connect(port, '127.0.0.1');
+    let text = '';
+    let isConnected = false;
+    socket.on('connect', () => {
+      isConnected = true;
+      socket.write('GET /lookup/1 HTTP/1.1\r\nhost: a\r\nauthorization: Bearer key-1\r\n\r\n');
+    });
+    socket.on('data', (chunk) => {
+      text += chunk.toString();
+      if (text.includes('200 OK')) socket.end();
+    });
+    socket.on('error', () => {});
+    socket.on('close', () => {
+      if (text.includes('200 OK')) resolve('answered');
+      else resolve(isConnected ? 'cut' : 'refused');
+    });
+  });
+}
+
+// Operators saw requests cut off that had just been accepted when a process stopped under load.
+test('a drain under load answers every request on a connection that it accepted', async () => {
+  const transport = createFakeTransport();
+  const stores = createTestStores();
+  stores.upstreams.put('u1', createUpstream('u1', { pool: plainPool }));
+  const started = await startTestNode(stores, transport);
+  await waitUntilReady(started);
+  const outcomes: Outcome[] = [];
+  const drained = started.node.drain();
+  // The load balancer removes the node after two failed checks; its last connections arrive about
+  // when the node stops to wait for that.
+  const removedAt = performance.now() + 2_800;
+  const sendUntilRemoved = async (): Promise<void> => {
+    while (performance.now() < removedAt) outcomes.push(await sendOnNewConnection(started.port));
+  };
+  await Promise.all(Array.from({ length: 30 }, sendUntilRemoved));
+  await drained;
+  expect(outcomes.filter((outcome) => outcome !== 'answered')).toEqual([]);
+  expect(outcomes.length).toBeGreaterThan(30);
+});
+
+// A caller may have opened its connection before the drain and send its first request after it.
+test('a connection without a request at the end of a drain still gets an answer', async () => {
+  const transport = createFakeTransport();
+  const stores = createTestStores();
+  stores.upstreams.put('u1', createUpstream('u1', { pool: plainPool }));
+  const started = await startTestNode(stores, transport);
+  await waitUntilReady(started);
+  const socket = connect(started.port, '127.0.0.1');
+  await once(socket, 'connect');
+  let isStopped = false;
+  const drained = started.node.drain().then(() => {
+    isStopped = true;
+  });
+  const isListening = async (): Promise<boolean> =>
+    (await sendOnNewConnection(started.port)) !== 'refused';
+  await sleep(2_500);
+  await waitUntil(async () => !(await isListening()));
+  await sleep(100);
+  expect(isStopped).toBe(false);
+  socket.write('GET /lookup/1 HTTP/1.1\r\nhost: a\r\nauthorization: Bearer key-1\r\n\r\n');
+  const [chunk] = (await once(socket, 'data')) as [Buffer];
+  expect(chunk.toString()).toContain('200 OK');
+  socket.destroy();
+  await drained;
+});
