--- a/packages/serving/src/organisation-quota.ts
+++ b/packages/serving/src/organisation-quota.ts
@@ -12,7 +12,7 @@
 import { monotonicMs, organisationId } from '@hibiscusbank/core';
 import type { OrganisationId } from '@hibiscusbank/core';
 import { createDataCentreTotals, createNodeTotals } from './spending-totals.js';
-import type { Spending, SpendingTotals } from './spending-totals.js';
+import type { DataCentreTotals, Spending } from './spending-totals.js';
 import type { ServingOrganisation } from './types.js';
 
 const MS_PER_S = 1_000;
@@ -126,7 +126,7 @@
   let hasRunningPeer = false;
   const spentNearby = new Map<string, number>();
   const nodeTotals = createNodeTotals();
-  const dataCentreTotals = new Map<string, SpendingTotals>();
+  const dataCentreTotals = new Map<string, DataCentreTotals>();
 
   const addBucket = (organisation: ServingOrganisation): Bucket => {
     const bucket: Bucket = {
@@ -249,7 +249,7 @@
       }
       const totals = dataCentreTotals.get(dataCentre) ?? createDataCentreTotals();
       dataCentreTotals.set(dataCentre, totals);
-      const spentThere = totals.takeNew(node, epoch, report.spentNearby, true);
+      const spentThere = totals.takeNew(node, epoch, report.spentNearby);
       if (options.usesSummaries()) charge(dataCentre, spentThere);
       else charge(node, spentByNode);
     },
--- a/packages/serving/src/serving-node.ts
+++ b/packages/serving/src/serving-node.ts
@@ -38,6 +38,7 @@
 import { createRetryBudget } from './retry-budget.js';
 import { createRoleOrders } from './role-orders.js';
 import { createServingGateway } from './serving-gateway.js';
+import { stopListening } from './stop-listening.js';
 import { createStoreFeeds } from './store-feeds.js';
 import type { ServingRequest } from './types.js';
 import { createUpstreamHealth } from './upstream-health.js';
@@ -90,20 +91,9 @@
   drain(): Promise<void>;
 }
 
-/**
- * Time after which the load balancer has removed the node: it does so after two failed readiness
- * checks, one second apart.
- */
-const BALANCER_REMOVAL_MS = 2_600;
 /** Margin by which the process stops before its forced end. */
 const GRACE_MARGIN_MS = 500;
 const DRAIN_POLL_MS = 25;
-/** Time without a new connection after which a draining node stops listening. */
-const QUIET_LISTENER_MS = 300;
-/** Time for which a connection may bring its first request after the node stopped listening. */
-const FIRST_REQUEST_MS = 500;
-/** Time before the end of the drain at which the node stops listening in any case. */
-const LAST_CLOSE_MS = 2_000;
 /** Retry delay for callers whose request found no free memory in time. */
 const QUEUE_RETRY_AFTER_MS = 3_000;
 /**
@@ -346,17 +336,7 @@
       void roleOrders.release();
       gateway.beginDrain();
       const deadline = monotonicMs() + options.graceMs - GRACE_MARGIN_MS;
-      await sleep(BALANCER_REMOVAL_MS);
-      // A connection that waits to be accepted when the listener closes is reset, so the listener stays
-      // open while connections keep arriving.
-      while (
-        callerServer.sinceLastConnectionMs() < QUIET_LISTENER_MS &&
-        monotonicMs() < deadline - LAST_CLOSE_MS
-      ) {
-        await sleep(DRAIN_POLL_MS);
-      }
-      // Connections that were just accepted may still bring a request.
-      await Promise.race([callerServer.close(), sleep(FIRST_REQUEST_MS)]);
+      await stopListening(callerServer, deadline);
       while (gateway.activeRequests() > 0 && monotonicMs() < deadline) await sleep(DRAIN_POLL_MS);
       telemetry.log('nodeStopped', { active: gateway.activeRequests() });
       stopping.abort();
--- a/packages/serving/src/spending-totals.ts
+++ b/packages/serving/src/spending-totals.ts
@@ -6,19 +6,27 @@
 /** Tokens spent, by organisation. */
 export type Spending = Readonly<Record<string, number>>;
 
-export interface SpendingTotals {
-  /** Returns what each organisation spent on a node since its last report. */
-  takeNew(node: string, epoch: number, spent: Spending, isKnownBefore: boolean): Spending;
+export interface NodeTotals {
+  /**
+   * Returns what each organisation spent on a node since its last report. `wasRunning`: whether the
+   * node ran before this process started; its first totals are not new then.
+   */
+  takeNew(node: string, epoch: number, spent: Spending, wasRunning: boolean): Spending;
+}
+
+export interface DataCentreTotals {
+  /** Returns what each organisation spent in the data centre beyond what was known of it. */
+  takeNew(sender: string, epoch: number, spent: Spending): Spending;
 }
 
 /** Creates the record of the totals of single nodes. */
-export function createNodeTotals(): SpendingTotals {
+export function createNodeTotals(): NodeTotals {
   const nodes = new Map<string, { readonly epoch: number; readonly spent: Map<string, number> }>();
   return {
-    takeNew: (node, epoch, spent, isKnownBefore) => {
+    takeNew: (node, epoch, spent, wasRunning) => {
       let known = nodes.get(node);
       if (known === undefined || known.epoch !== epoch) {
-        const before = known === undefined && isKnownBefore ? Object.entries(spent) : [];
+        const before = known === undefined && wasRunning ? Object.entries(spent) : [];
         known = { epoch, spent: new Map(before) };
         nodes.set(node, known);
       }
@@ -44,19 +52,19 @@
  * the spending of all of them. Their totals start at different times, so each sender has an offset;
  * the highest of the totals is the newest.
  */
-export function createDataCentreTotals(): SpendingTotals {
+export function createDataCentreTotals(): DataCentreTotals {
   const estimates = new Map<string, number>();
   const senders = new Map<string, Sender>();
   return {
-    takeNew: (node, epoch, spent) => {
-      let sender = senders.get(node);
+    takeNew: (name, epoch, spent) => {
+      let sender = senders.get(name);
       if (sender?.epoch !== epoch) {
         sender = { epoch, offsets: new Map() };
         for (const organisation of new Set([...Object.keys(spent), ...estimates.keys()])) {
           const ahead = (spent[organisation] ?? 0) - (estimates.get(organisation) ?? 0);
           sender.offsets.set(organisation, ahead);
         }
-        senders.set(node, sender);
+        senders.set(name, sender);
       }
       const { offsets } = sender;
       const newlySpent: Record<string, number> = {};
