--- a/packages/serving/test/peer-reports.test.ts
+++ b/packages/serving/test/peer-reports.test.ts
@@ -36,7 +36,6 @@
 async function countReports(fleet: number, dataCentres: number, ms: number) {
   const [self, ...peers] = createPeers(fleet, dataCentres);
   const counts = new Map<string, number>();
-  const timedOut: string[] = [];
   const reports = createPeerReports({
     self: self as KnownPeer,
     startedAt: 1,
@@ -54,7 +53,7 @@
     readLocalState: () => state,
     onReport: () => {},
     beforeRound: () => {},
-    onTimeout: (node) => timedOut.push(node),
+    onTimeout: () => {},
     telemetry: createTelemetry({}, () => {}),
   });
   reports.start();
@@ -80,6 +79,30 @@
   },
 );
 
+test('a peer that stops reporting times out once, and not before', async () => {
+  const [self, peer] = createPeers(2, 1) as [KnownPeer, KnownPeer];
+  const timedOut: string[] = [];
+  const reports = createPeerReports({
+    self,
+    startedAt: 1,
+    livePeers: createLivePeers(),
+    datagrams: { send: () => true },
+    peers: () => [peer],
+    readLocalState: () => state,
+    onReport: () => {},
+    beforeRound: () => {},
+    onTimeout: (node) => timedOut.push(node),
+    telemetry: createTelemetry({}, () => {}),
+  });
+  reports.start();
+  expect(reports.receive({ ...peer, startedAt: 1, sequence: 1, ...state })).toBe(true);
+  await vi.advanceTimersByTimeAsync(1_100);
+  expect(timedOut).toEqual([]);
+  await vi.advanceTimersByTimeAsync(3_000);
+  expect(timedOut).toEqual([peer.node]);
+  reports.stop();
+});
+
 test('a report older than the last one is dropped unless the node restarted', () => {
   const livePeers = createLivePeers();
   const report = (startedAt: number, sequence: number): PeerReport => ({
--- a/packages/serving/test/role-orders.test.ts
+++ b/packages/serving/test/role-orders.test.ts
@@ -87,7 +87,7 @@
     const roleOrders = createRoleOrders({
       self,
       peers: others,
-      reachesMajority: () => (others().length + 1) * 2 >= names.length,
+      reachesMajority: () => (others().length + 1) * 2 > names.length,
       changing: createChangingRoles(() => []),
       lease: (key) =>
         createLease({ objectApi: createLeaseObjects(nodeStore), key, holder: self, telemetry }),
