Spread the reports of a data centre's nodes over the remote peers

Cause: nodes that start together went through the list of remote peers in step, so all nodes of a data centre reported to one peer at once and then for seconds to others. Change: each node starts at its own position in the list, by its rank in its data centre. Ruled out: random positions, which leave some pairs with long gaps for good. Fleets of up to 8 nodes report to all peers each interval and are not affected.

--- a/packages/serving/src/peer-reports.ts
+++ b/packages/serving/src/peer-reports.ts
@@ -178,17 +178,29 @@
     }
   };
 
+  /**
+   * Returns the position of this node among the nodes of its data centre, from 0 to 1. Nodes that
+   * started together would otherwise all report to the same peer at the same time, and to none of
+   * the others.
+   */
+  const computePhase = (local: readonly KnownPeer[]): number => {
+    const before = local.filter(({ node }) => node < self.node).length;
+    return before / (local.length + 1);
+  };
+
   /** Returns the peers whose turn it is. */
   const takeTurn = (
     all: readonly KnownPeer[],
     rotation: Rotation,
     fleet: number,
+    phase: number,
   ): readonly KnownPeer[] => {
     const intervalMs = reportIntervalMs(all.length, rotation.perSecond, fleet);
     const peersPerRound = Math.ceil((all.length * REPORT_INTERVAL_MS) / intervalMs);
+    const first = rotation.next + Math.floor(phase * all.length);
     const turn = Array.from(
       { length: peersPerRound },
-      (_, index) => all[(rotation.next + index) % all.length],
+      (_, index) => all[(first + index) % all.length],
     );
     rotation.next = (rotation.next + peersPerRound) % Math.max(1, all.length);
     return turn.filter((peer) => peer !== undefined);
@@ -206,7 +218,11 @@
     const { local, remote } = splitPeers();
     dropTimedOut(local.length, remote.length);
     const fleet = local.length + remote.length + 1;
-    sendTo([...takeTurn(local, localRotation, fleet), ...takeTurn(remote, remoteRotation, fleet)]);
+    const phase = computePhase(local);
+    sendTo([
+      ...takeTurn(local, localRotation, fleet, phase),
+      ...takeTurn(remote, remoteRotation, fleet, phase),
+    ]);
   };
 
   return {
--- a/packages/serving/test/peer-reports.test.ts
+++ b/packages/serving/test/peer-reports.test.ts
@@ -1,5 +1,6 @@
 import { createTelemetry } from '@hibiscusbank/core';
 import { afterEach, beforeEach, expect, test, vi } from 'vitest';
+import { silenceLimitMs } from '../src/data-centre-contact.js';
 import { createLivePeers } from '../src/live-peers.js';
 import { createPeerReports } from '../src/peer-reports.js';
 import type { KnownPeer, PeerReport } from '../src/peer-reports.js';
@@ -79,6 +80,44 @@
   },
 );
 
+// Nodes that started together reported to each remote peer all at once and then not for seconds, so that
+// their data centre seemed cut off in between.
+test.each([
+  [81, 3],
+  [195, 5],
+])('in a fleet of %i nodes a data centre is never silent for long', async (fleet, dataCentres) => {
+  const all = createPeers(fleet, dataCentres);
+  const [receiver] = all as [KnownPeer];
+  const senders = all.filter(({ dataCentre }) => dataCentre === 'dc1');
+  const heardAt: number[] = [];
+  const running = senders.map((self) => {
+    const reports = createPeerReports({
+      self,
+      startedAt: 1,
+      livePeers: createLivePeers(),
+      datagrams: {
+        send: (_, recipients) => {
+          if (recipients.some(({ port }) => port === receiver.port)) heardAt.push(Date.now());
+          return true;
+        },
+      },
+      peers: () => all.filter(({ node }) => node !== self.node),
+      readLocalState: () => state,
+      onReport: () => {},
+      beforeRound: () => {},
+      onTimeout: () => {},
+      telemetry: createTelemetry({}, () => {}),
+    });
+    reports.start();
+    return reports;
+  });
+  await vi.advanceTimersByTimeAsync(60_000);
+  for (const reports of running) reports.stop();
+  const gaps = heardAt.slice(1).map((time, index) => time - (heardAt[index] as number));
+  expect(heardAt.length).toBeGreaterThan(60);
+  expect(Math.max(...gaps)).toBeLessThan(silenceLimitMs(senders.length, fleet) / 2);
+});
+
 test('a peer that stops reporting times out once, and not before', async () => {
   const [self, peer] = createPeers(2, 1) as [KnownPeer, KnownPeer];
   const timedOut: string[] = [];
