--- a/packages/serving/src/organisation-quota.ts
+++ b/packages/serving/src/organisation-quota.ts
@@ -2,8 +2,8 @@
  * Limits the rate of each organisation over all nodes. Each node keeps a token bucket per
  * organisation that holds the tokens that the whole fleet may still spend; the spending of other
  * nodes arrives with their reports. During a partition each group of nodes that reach each other
- * uses a fraction of the rate in proportion to its size, so that the groups together never exceed
- * the whole rate.
+ * uses a fraction of the rate in proportion to its size, so that the groups together use the whole
+ * rate. The bound is not strict: until a report or a time-out, nodes grant what others have spent.
  *
  * The operator tolerates a limited excess over rate and burst. Part of it serves organisations whose
  * requests bunch beyond a burst of a few requests: while upstreams have free capacity, a bucket may
