Log how long a failed call to the store was open and how long it was silent

Cause: the logs did not tell whether a node that is late with a change waited for an open call or for the pause before the next one.

--- a/packages/core/src/metrics.ts
+++ b/packages/core/src/metrics.ts
@@ -2,6 +2,7 @@
 import { Counter, Gauge, Histogram, Registry } from 'prom-client';
 
 const LATENCY_BUCKETS_S = [0.001, 0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30];
+const OUTAGE_BUCKETS_S = [1, 2, 3, 5, 8, 12, 20, 60, 300];
 
 /** Creates the metrics that docs/metrics.md lists. */
 export function createMetrics() {
@@ -68,6 +69,13 @@
       labelNames: ['operation', 'result'],
       registers,
     }),
+    storeSilenceSeconds: new Histogram({
+      name: 'hibiscusbank_store_silence_seconds',
+      help: 'Time without a response of the store, observed when it answers again, by kind of entries',
+      labelNames: ['kind'],
+      buckets: OUTAGE_BUCKETS_S,
+      registers,
+    }),
     invariantViolations: new Counter({
       name: 'hibiscusbank_invariant_violations_total',
       help: 'Violated invariants by name',
--- a/packages/serving/src/entry-feed.ts
+++ b/packages/serving/src/entry-feed.ts
@@ -10,6 +10,8 @@
 const FIRST_RETRY_MS = 150;
 const MAX_RETRY_MS = 1_200;
 
+const MS_PER_S = 1_000;
+
 /**
  * All relevant changes after one revision and up to another. `FeedOptions.digest` decides which
  * changes are relevant.
@@ -84,16 +86,26 @@
   let lastContactAt = -Infinity;
   let connected = true;
   let failures = 0;
+  let lastFailedCallMs = 0;
 
   const recordResponse = (): void => {
-    lastContactAt = monotonicMs();
+    const now = monotonicMs();
+    if (!connected) {
+      const silentMs = Math.round(now - lastContactAt);
+      if (Number.isFinite(silentMs)) {
+        telemetry.metrics.storeSilenceSeconds.observe({ kind }, silentMs / MS_PER_S);
+      }
+      telemetry.log('storeRegained', { kind, revision, silentMs, failures, lastFailedCallMs });
+    }
+    lastContactAt = now;
     failures = 0;
-    if (!connected) telemetry.log('storeRegained', { kind, revision });
     connected = true;
   };
 
-  const recordFailure = (failure: StoreFailure): void => {
-    if (connected) telemetry.log('storeLost', { kind, failure, revision });
+  const recordFailure = (failure: StoreFailure, calledAt: number): void => {
+    lastFailedCallMs = Math.round(monotonicMs() - calledAt);
+    if (connected)
+      telemetry.log('storeLost', { kind, failure, revision, callMs: lastFailedCallMs });
     connected = false;
     failures += 1;
   };
@@ -157,9 +169,10 @@
   };
 
   const readList = async (): Promise<boolean> => {
+    const calledAt = monotonicMs();
     const result = await store.list();
     if (result.isErr()) {
-      recordFailure(result.error);
+      recordFailure(result.error, calledAt);
       return false;
     }
     recordResponse();
@@ -173,9 +186,10 @@
    * local revision.
    */
   const watch = async (): Promise<boolean> => {
+    const calledAt = monotonicMs();
     const result = await store.watch(revision, options.waitMs);
     if (result.isErr()) {
-      if (result.error !== 'history_lost') recordFailure(result.error);
+      if (result.error !== 'history_lost') recordFailure(result.error, calledAt);
       await sleep(result.error === 'history_lost' ? 0 : retryPauseMs());
       return result.error !== 'history_lost';
     }
