Notice within the bounds that a watch of the store has fallen silent

Callers: a request on a route that was just added got 404 at every node, up to 5 s after the store had confirmed the change over 2 s before (CONFIG); a data centre that was taken out of service still got requests (EVAC).

Cause: a watch waited up to 5 s and counted as failed 1.5 s later. One that a silent outage had cut off, or that was opened shortly before its end, stayed open up to 6.5 s beyond the outage, while the store answered every other call. The class: a wait whose failure is noticed later than the bound it serves.

Change: the wait of each watch follows from the bounds in the settings (stable-window-ms, config-apply-ms, evac-ms, drain-ms), less the time-out and a margin; after a failed call the next watch does not wait, so its response shows at once that the store answers again; the pause before it follows from the same bound, and upstreams no longer add their batching pause to it.

--- a/packages/serving/src/entry-feed.ts
+++ b/packages/serving/src/entry-feed.ts
@@ -8,7 +8,6 @@
 
 /** The pause doubles after each failed call, so that an outage does not cause a storm of calls. */
 const FIRST_RETRY_MS = 150;
-const MAX_RETRY_MS = 1_200;
 
 const MS_PER_S = 1_000;
 
@@ -30,6 +29,8 @@
   readonly telemetry: Telemetry;
   /** Maximum time for which one watch waits for changes. */
   readonly waitMs: number;
+  /** Maximum pause after a failed call. */
+  readonly maxRetryMs: number;
   /** Pause between two watches, in which changes are batched. */
   readonly pauseMs: number;
   /**
@@ -111,7 +112,7 @@
   };
 
   const retryPauseMs = (): number =>
-    Math.min(MAX_RETRY_MS, FIRST_RETRY_MS * 2 ** Math.max(0, failures - 1));
+    Math.min(options.maxRetryMs, FIRST_RETRY_MS * 2 ** Math.max(0, failures - 1));
 
   /** Applies one change. Returns whether it is relevant. */
   const applyChange = (change: EntryChange): boolean => {
@@ -182,21 +183,24 @@
   };
 
   /**
-   * Watches once for changes. Returns false when the store no longer has the history after the
-   * local revision.
+   * Watches once for changes, and pauses before the next watch. After a failed call the watch does
+   * not wait for changes, so that its response shows at once that the store answers again. Returns
+   * false when the store no longer has the history after the local revision.
    */
-  const watch = async (): Promise<boolean> => {
+  const watch = async (signal: AbortSignal): Promise<boolean> => {
     const calledAt = monotonicMs();
-    const result = await store.watch(revision, options.waitMs);
+    const result = await store.watch(revision, failures > 0 ? 0 : options.waitMs);
     if (result.isErr()) {
-      if (result.error !== 'history_lost') recordFailure(result.error, calledAt);
-      await sleep(result.error === 'history_lost' ? 0 : retryPauseMs());
-      return result.error !== 'history_lost';
+      if (result.error === 'history_lost') return false;
+      recordFailure(result.error, calledAt);
+      await sleep(retryPauseMs(), signal);
+      return true;
     }
     recordResponse();
     const { changes, revision: upTo } = result.value;
     const after = changeRevision;
     notify(after, applyChanges(changes.filter(isApplicable), upTo));
+    await sleep(options.pauseMs, signal);
     return true;
   };
 
@@ -231,8 +235,7 @@
           mustList = !(await readList());
           if (mustList) await sleep(retryPauseMs(), signal);
         } else {
-          mustList = !(await watch());
-          if (!mustList) await sleep(options.pauseMs, signal);
+          mustList = !(await watch(signal));
         }
       }
     },
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -6,3 +6,5 @@
 export * from './serving-node.js';
 export * from './types.js';
 export * from './line-log.js';
+export { STORE_CALL_TIMEOUT_MS } from './store-timing.js';
+export type { KnowledgeBounds } from './store-feeds.js';
--- a/packages/serving/src/serving-node.ts
+++ b/packages/serving/src/serving-node.ts
@@ -40,6 +40,7 @@
 import { createServingGateway } from './serving-gateway.js';
 import { stopListening } from './stop-listening.js';
 import { createStoreFeeds } from './store-feeds.js';
+import type { KnowledgeBounds } from './store-feeds.js';
 import type { ServingRequest } from './types.js';
 import { createUpstreamHealth } from './upstream-health.js';
 import { createUpstreamLoads } from './upstream-loads.js';
@@ -78,8 +79,7 @@
   };
   /** Excess over the rates of organisations that the operator tolerates. */
   readonly quotaTolerance: QuotaTolerance;
-  /** Maximum time for which an upstream that starts to drain may still get new requests. */
-  readonly stopSendingWithinMs: number;
+  readonly bounds: KnowledgeBounds;
   /** Time between SIGTERM and the forced end of the process. */
   readonly graceMs: number;
   readonly telemetry: Telemetry;
@@ -174,7 +174,7 @@
   const feeds = createStoreFeeds({
     stores,
     decoders: options.decoders,
-    stopSendingWithinMs: options.stopSendingWithinMs,
+    bounds: options.bounds,
     watcherSelection,
     onTables: (entries) => {
       directory.setTables(entries);
--- a/packages/serving/src/store-feeds.ts
+++ b/packages/serving/src/store-feeds.ts
@@ -4,24 +4,39 @@
 import type { EntryDelta, FeedOptions, EntryFeed } from './entry-feed.js';
 import type { KnownRevisions } from './peer-reports.js';
 import type { EntryDecoders, EntryStore, StoredEntry } from './ports.js';
+import { computeMaxWaitMs } from './store-timing.js';
 import type { WatcherSelection } from './watcher-selection.js';
 
 /**
- * Maximum wait of one watch of the configuration or of the data centres out of service. Both rarely
- * change.
+ * Maximum wait of one watch of the configuration or of the data centres out of service, if the
+ * bounds permit it. Both rarely change.
  */
 const DEFAULT_WATCH_MS = 5_000;
 const DEFAULT_PAUSE_MS = 30;
 /**
- * Maximum wait of one watch of upstreams. Their entries change several times a second; the pause
- * between watches batches the changes.
+ * The same for upstreams. Their entries change several times a second; the pause between watches
+ * batches the changes.
  */
 const UPSTREAM_WATCH_MS = 1_000;
+/** Maximum pause after a failed call, if the bounds permit it. */
+const DEFAULT_RETRY_MS = 1_200;
 /** Fraction of `stopSendingWithinMs` that the pause between two watches of upstreams may take. */
 const UPSTREAM_PAUSE_SHARE = 0.3;
 
 type Entries = ReadonlyMap<string, StoredEntry>;
 
+/** Times within which a node acts on changes in the store. */
+export interface KnowledgeBounds {
+  /** Time after a disruption from which the other bounds hold again. */
+  readonly recoveryMs: number;
+  /** Maximum time until a change of the configuration is in force. */
+  readonly applyTablesWithinMs: number;
+  /** Maximum time for which an upstream that starts to drain may still get new requests. */
+  readonly stopSendingWithinMs: number;
+  /** Maximum time for which a data centre taken out of service may still get new requests. */
+  readonly leaveDataCentreWithinMs: number;
+}
+
 export interface StoreFeedsOptions {
   readonly stores: {
     readonly tables: EntryStore;
@@ -29,8 +44,7 @@
     readonly outOfService: EntryStore;
   };
   readonly decoders: EntryDecoders;
-  /** Maximum time for which an upstream that starts to drain may still get new requests. */
-  readonly stopSendingWithinMs: number;
+  readonly bounds: KnowledgeBounds;
   readonly watcherSelection: Pick<WatcherSelection, 'whenSelected'>;
   readonly onTables: (entries: Entries) => void;
   readonly onUpstreams: (entries: Entries) => void;
@@ -63,32 +77,41 @@
 
 /** Creates the feeds. No calls are made before `run`. */
 export function createStoreFeeds(options: StoreFeedsOptions): StoreFeeds {
-  const { stores, watcherSelection, telemetry, onStoreDelta } = options;
+  const { stores, bounds, watcherSelection, telemetry, onStoreDelta } = options;
+  /** A change during a disruption has to be known only at the end of the recovery. */
   const create = (
     kind: string,
     store: EntryStore,
+    withinMs: number,
     feedOptions: Pick<FeedOptions, 'waitMs' | 'pauseMs' | 'onChange' | 'digest'>,
-  ): EntryFeed =>
-    createEntryFeed({
+  ): EntryFeed => {
+    const maxWaitMs = computeMaxWaitMs(Math.max(bounds.recoveryMs, withinMs));
+    return createEntryFeed({
       kind,
       store,
       telemetry,
       whenSelected: watcherSelection.whenSelected,
       onStoreDelta: (delta) => onStoreDelta(kind, delta),
+      maxRetryMs: Math.min(DEFAULT_RETRY_MS, maxWaitMs),
       ...feedOptions,
+      waitMs: Math.min(feedOptions.waitMs, maxWaitMs),
     });
+  };
   const defaults = { waitMs: DEFAULT_WATCH_MS, pauseMs: DEFAULT_PAUSE_MS };
   const digest = createUpstreamDigest(options.decoders);
-  const upstreams = create('upstreams', stores.upstreams, {
+  const upstreams = create('upstreams', stores.upstreams, bounds.stopSendingWithinMs, {
     waitMs: UPSTREAM_WATCH_MS,
-    pauseMs: options.stopSendingWithinMs * UPSTREAM_PAUSE_SHARE,
+    pauseMs: bounds.stopSendingWithinMs * UPSTREAM_PAUSE_SHARE,
     onChange: options.onUpstreams,
     ...(digest === undefined ? {} : { digest }),
   });
   const byKind: Readonly<Record<string, EntryFeed>> = {
-    tables: create('tables', stores.tables, { ...defaults, onChange: options.onTables }),
+    tables: create('tables', stores.tables, bounds.applyTablesWithinMs, {
+      ...defaults,
+      onChange: options.onTables,
+    }),
     upstreams,
-    outOfService: create('outOfService', stores.outOfService, {
+    outOfService: create('outOfService', stores.outOfService, bounds.leaveDataCentreWithinMs, {
       ...defaults,
       onChange: options.onOutOfService,
     }),
--- a/packages/serving/test/entry-feed.test.ts
+++ b/packages/serving/test/entry-feed.test.ts
@@ -21,6 +21,7 @@
     telemetry: createTelemetry({}, () => {}),
     waitMs: 1_000,
     pauseMs: 600,
+    maxRetryMs: 1_200,
     onChange: (entries) => changes.push([...entries.keys()]),
     ...more,
   });
--- a/packages/serving/test/support/fake-store.ts
+++ b/packages/serving/test/support/fake-store.ts
@@ -1,4 +1,6 @@
+import { sleep } from '@hibiscusbank/core';
 import { err, ok } from 'neverthrow';
+import { STORE_CALL_TIMEOUT_MS } from '../../src/index.js';
 import type { EntryChange, EntryStore, StoredEntry } from '../../src/index.js';
 
 export interface FakeStore extends EntryStore {
@@ -6,6 +8,8 @@
   drop(name: string): void;
   /** While set, calls fail with `unavailable`. */
   setDown(isDown: boolean): void;
+  /** Calls that are open or opened while this is set never get a response; they fail by time-out. */
+  setSilent(isSilent: boolean): void;
   /** Drops the history, so that watches from earlier revisions fail with `history_lost`. */
   compact(): void;
 }
@@ -17,8 +21,16 @@
   let revision = 1;
   let oldest = 0;
   let down = false;
+  let silent = false;
+  /** Number of silences so far, by which a watch finds that one began while it was open. */
+  let silences = 0;
   let wake: (() => void)[] = [];
 
+  const timeOut = async () => {
+    await sleep(STORE_CALL_TIMEOUT_MS);
+    return err('unavailable' as const);
+  };
+
   const record = (change: EntryChange): void => {
     log.push(change);
     const waiting = wake;
@@ -49,15 +61,28 @@
       for (const resume of wake) resume();
       wake = [];
     },
+    setSilent: (isSilent) => {
+      silent = isSilent;
+      if (!isSilent) return;
+      silences += 1;
+      wake = [];
+    },
     compact: () => {
       log = [];
       oldest = revision;
       for (const resume of wake) resume();
       wake = [];
     },
-    list: async () =>
-      down ? err('unavailable' as const) : ok({ entries: [...entries.values()], revision }),
+    list: async () => {
+      if (silent) return timeOut();
+      return down ? err('unavailable' as const) : ok({ entries: [...entries.values()], revision });
+    },
     watch: async (after, waitMs) => {
+      if (silent) {
+        await sleep(waitMs);
+        return timeOut();
+      }
+      const silencesBefore = silences;
       if (down) return err('unavailable');
       if (after < oldest) return err('history_lost');
       if (changesAfter(after).length === 0) {
@@ -69,6 +94,7 @@
           });
         });
       }
+      if (silences > silencesBefore) return timeOut();
       if (down) return err('unavailable');
       if (after < oldest) return err('history_lost');
       return ok({ changes: changesAfter(after), revision });
--- a/packages/serving/test/support/test-node.ts
+++ b/packages/serving/test/support/test-node.ts
@@ -286,7 +286,12 @@
     },
     retryBudget: { ratio: 0.2, allowance: 52, windowMs: 10_000 },
     quotaTolerance: { windowMs: 8_000, ratio: 0.1, allowance: 0 },
-    stopSendingWithinMs: 2_000,
+    bounds: {
+      recoveryMs: 3_000,
+      applyTablesWithinMs: 2_000,
+      stopSendingWithinMs: 2_000,
+      leaveDataCentreWithinMs: 5_000,
+    },
     graceMs: 8_000,
     telemetry: createTelemetry({ vm: name }, (_, context, text) => {
       events.push(`${text} ${JSON.stringify(context)}`);
--- a/packages/serving/test/watcher-selection.test.ts
+++ b/packages/serving/test/watcher-selection.test.ts
@@ -96,6 +96,7 @@
         store: countCalls(storeOf(index)),
         telemetry: createTelemetry({}, () => {}),
         waitMs: 1_000,
+        maxRetryMs: 1_200,
         pauseMs: 900,
         digest: ({ value }) => String((value as { ready: boolean }).ready),
         whenSelected: selection.whenSelected,
