Reset the connections of aborted requests

Callers: a request that was aborted at its deadline in a partition reached a server 6 s later, after the partition had healed, in a data centre that had been taken out of service meanwhile (EVAC).

Cause: an aborted exchange closed its connection regularly. The kernel keeps sending what it holds up, so the request was delivered with the next retransmission, 3.1 s after the end of the cut.

Change: a socket that this process destroys with an error resets its connection, which discards bytes that are held up. Errors of the connection itself are passed on as before.

Ruled out: late knowledge of the evacuation; the node knew it at 13.01 s, the request was sent at 9.40 s and arrived at 15.63 s.

The test gets a regular end instead of a reset without the change.

--- a/packages/serving/src/http-exchange.ts
+++ b/packages/serving/src/http-exchange.ts
@@ -81,6 +81,23 @@
   });
 }
 
+/**
+ * Makes a socket that this process destroys with an error reset its connection. A regular close still
+ * delivers bytes that the network holds up, so an aborted request could reach its upstream much later.
+ */
+function resetOnError(socket: Socket): void {
+  const destroy = socket.destroy.bind(socket);
+  let reason: Error | undefined;
+  socket.destroy = (error?: NodeJS.ErrnoException) => {
+    const isConnectionError = error?.syscall !== undefined;
+    if (error === undefined || isConnectionError || reason !== undefined || socket.connecting) {
+      return destroy(error ?? reason);
+    }
+    reason = error;
+    return socket.resetAndDestroy();
+  };
+}
+
 /**
  * Connects, and distinguishes resets from regular ends. Undici takes an `ECONNRESET` after the
  * headers of a response without a length for the end of the response, so that a truncated body
@@ -93,6 +110,7 @@
       if (err.code === 'ECONNRESET') err.code = RESET_CODE;
     });
     socket?.prependListener('end', detectReset);
+    if (socket) resetOnError(socket);
     callback(...result);
   });
 };
--- a/packages/serving/test/http-exchange.test.ts
+++ b/packages/serving/test/http-exchange.test.ts
@@ -132,3 +132,22 @@
   for (let body = 0; body < 3; body += 1) expect(await fetchBody(address)).toBeUndefined();
   expect((await fetchBody(address))?.toString()).toBe('ok');
 });
+
+// Guards against a partition that holds up an aborted request and delivers it after it has healed.
+test('an aborted request resets its connection', async () => {
+  const controller = new AbortController();
+  let onClosed: (how: string) => void = () => {};
+  const closed = new Promise<string>((resolve) => {
+    onClosed = resolve;
+  });
+  const address = await listen((socket) => {
+    socket.on('error', (error: NodeJS.ErrnoException) => onClosed(error.code ?? 'error'));
+    socket.on('end', () => onClosed('end'));
+    controller.abort();
+  });
+  const connections = createConnections(address, 1);
+  const call = { method: 'POST', path: '/', headers: {}, body: 'order', signal: controller.signal };
+  expect(await openExchange(connections, call)).toMatchObject({ ok: false, wasSent: true });
+  expect(await closed).toBe('ECONNRESET');
+  await connections.destroy();
+});
