Quarantine prompt parts under which upstreams end one after the other

Cause: nothing kept what an upstream was running when it ended, so each request with the part was sent like any other. The class: a failure whose cause is in the request is taken for one of the upstream.

Change: a node that sees an answer break off finds by a connection whether the upstream's process ended; if so, the parts of all prompts it was running are suspects, and all nodes are told at once. A part counts once for an end, and only if a request with it was sent after the previous one, so upstreams that fail together give no evidence. A whole answer clears a part everywhere. After three ends the most specific part is refused, immediately and as not run, before prefills and repeats too, and the ends no longer count against other parts. Later one request at a time tries it. Reports carry quarantined parts to restarted nodes; operators list and lift them over HTTP. The decision is part-quarantine.ts, without network.

Ruled out: repeats as the main cause (two of 14 ends came in a pair, most broken runs were not resumable); avoided engines (the ends were spread over all).

--- a/packages/core/src/errors.ts
+++ b/packages/core/src/errors.ts
@@ -11,6 +11,7 @@
   | 'body_too_large'
   | 'rate_exceeded'
   | 'no_capacity'
+  | 'quarantined'
   | 'not_ready'
   | 'conflict'
   | 'not_found'
--- a/packages/core/src/events.ts
+++ b/packages/core/src/events.ts
@@ -133,6 +133,9 @@
     'no node of a data centre reports; its engines are used last',
   ),
   dataCentreHeard: defineEvent(1826, 'info', 'nodes of a data centre report again'),
+  upstreamEnded: defineEvent(1827, 'warn', 'upstream ended while it ran requests'),
+  partQuarantined: defineEvent(1828, 'error', 'prompt part quarantined; upstreams end under it'),
+  partCleared: defineEvent(1829, 'info', 'quarantine of a prompt part lifted'),
   settingsReloaded: defineEvent(1816, 'info', 'settings reloaded'),
 
   invariantViolated: defineEvent(1901, 'error', 'invariant violated'),
--- a/packages/core/src/metrics.ts
+++ b/packages/core/src/metrics.ts
@@ -76,6 +76,17 @@
       buckets: OUTAGE_BUCKETS_S,
       registers,
     }),
+    upstreamEnds: new Counter({
+      name: 'hibiscusbank_upstream_ends_total',
+      help: 'Upstreams that ended while they ran requests of this node, by pool',
+      labelNames: ['pool'],
+      registers,
+    }),
+    quarantinedParts: new Gauge({
+      name: 'hibiscusbank_quarantined_parts',
+      help: 'Prompt parts in quarantine because upstreams ended under them',
+      registers,
+    }),
     invariantViolations: new Counter({
       name: 'hibiscusbank_invariant_violations_total',
       help: 'Violated invariants by name',
--- a/packages/gateway/src/error-response.ts
+++ b/packages/gateway/src/error-response.ts
@@ -20,6 +20,7 @@
   upstream_refused: 503,
   upstream_cold: 503,
   no_capacity: 503,
+  quarantined: 503,
   not_ready: 503,
   platform_unavailable: 503,
   peer_unavailable: 503,
--- a/packages/serving/src/context.ts
+++ b/packages/serving/src/context.ts
@@ -9,6 +9,7 @@
 } from '@hibiscusbank/core';
 import { monotonicMs } from '@hibiscusbank/core';
 import type { ColdLimit } from './cold-limit.js';
+import type { CrashProtection } from './crash-protection.js';
 import type { Directory, KnownUpstream } from './directory.js';
 import type { EnginePace } from './engine-pace.js';
 import type { EngineQueue } from './engine-queue.js';
@@ -36,6 +37,7 @@
   readonly quota: OrganisationQuota;
   readonly retryBudget: RetryBudget;
   readonly coldLimit: ColdLimit;
+  readonly crashProtection: Pick<CrashProtection, 'findBlocked' | 'beginRun'>;
   readonly health: UpstreamHealth;
   /** Upstreams whose entry is out of date. */
   readonly moved: MovedUpstreams;
--- a/packages/serving/src/failures.ts
+++ b/packages/serving/src/failures.ts
@@ -1,6 +1,7 @@
 /** Errors for requests that ended without a response from an upstream. */
 import { createError } from '@hibiscusbank/core';
 import type { Effect, RouterError } from '@hibiscusbank/core';
+import type { QuarantinedPart } from './part-quarantine.js';
 import type { SendFailure } from './types.js';
 
 export interface ServingFailure {
@@ -8,6 +9,16 @@
   readonly effect: Effect;
 }
 
+/** Returns the error for a request that was not sent because of a quarantined part of its prompt. */
+export function describeQuarantine({ part, ageMs, lengthMs, ends }: QuarantinedPart): RouterError {
+  return createError(
+    'quarantined',
+    `${ends.length} upstreams ended while they ran prompts with part ${part}; ` +
+      'change that part, or ask the operator to lift its quarantine',
+    { effect: 'not_run', retryAfterMs: Math.max(0, lengthMs - ageMs) },
+  );
+}
+
 /** Converts a failed attempt to an error that claims no more about its effect than is known. */
 export function describeFailure(failure: SendFailure, retryAfterMs: number): ServingFailure {
   if (failure.effect === 'not_run') {
@@ -25,6 +36,13 @@
   };
 }
 
+/** Returns the failure of a request that must not be sent (again) because of a quarantined part. */
+export function describeBlocked(blocked: QuarantinedPart, effect: Effect): ServingFailure {
+  return effect === 'not_run'
+    ? { error: describeQuarantine(blocked), effect }
+    : describeFailure({ effect, wasSent: true, reason: 'broken' }, 0);
+}
+
 /** Returns the error for a request whose time limit has passed. */
 export function describeTimeout(effect: Effect): ServingFailure {
   return effect === 'not_run'
--- a/packages/serving/src/live-peers.ts
+++ b/packages/serving/src/live-peers.ts
@@ -1,6 +1,6 @@
 /** Keeps the last report of each live peer. */
 import { monotonicMs } from '@hibiscusbank/core';
-import type { PeerReport } from './peer-reports.js';
+import type { KnownPeer, PeerReport } from './peer-reports.js';
 
 export interface LivePeers {
   /** Stores a report. Returns false for a report that is not newer than the stored one. */
@@ -10,6 +10,7 @@
   has(node: string): boolean;
   /** Whether a node timed out and has not reported since. */
   hasTimedOut(node: string): boolean;
+  names(): readonly string[];
   reports(): readonly PeerReport[];
 }
 
@@ -18,6 +19,13 @@
   return report.sequence <= known.sequence;
 }
 
+/** Returns the peers by address, without this node. Later entries replace earlier ones. */
+export function mergePeers(self: KnownPeer, peers: readonly KnownPeer[]): readonly KnownPeer[] {
+  const byAddress = new Map(peers.map((peer) => [`${peer.host}:${peer.port}`, peer]));
+  byAddress.delete(`${self.host}:${self.port}`);
+  return [...byAddress.values()];
+}
+
 export function createLivePeers(): LivePeers {
   const lastReports = new Map<string, { readonly report: PeerReport; readonly at: number }>();
   const timedOutNodes = new Set<string>();
@@ -41,6 +49,7 @@
       }
       return timedOut;
     },
+    names: () => [...lastReports.keys()],
     has: (node) => lastReports.has(node),
     reports: () => [...lastReports.values()].map(({ report }) => report),
   };
--- a/packages/serving/src/peer-reports.ts
+++ b/packages/serving/src/peer-reports.ts
@@ -1,6 +1,7 @@
 /** Periodic reports between nodes: load, quota spending and configuration state. */
 import type { Telemetry } from '@hibiscusbank/core';
 import type { LivePeers } from './live-peers.js';
+import type { QuarantinedPart } from './part-quarantine.js';
 import type { PeerDatagrams } from './peer-datagrams.js';
 import type { Spending } from './spending-totals.js';
 import type { PrefillTotals } from './prefill-work.js';
@@ -62,6 +63,8 @@
   readonly revisions: Readonly<Record<string, KnownRevisions>>;
   readonly changing: RoleChanges;
   readonly prefillMs: PrefillTotals;
+  /** Prompt parts that the node has quarantined, the latest first. */
+  readonly quarantined: readonly QuarantinedPart[];
 }
 
 export type LocalState = Pick<
@@ -74,6 +77,7 @@
   | 'revisions'
   | 'changing'
   | 'prefillMs'
+  | 'quarantined'
 >;
 
 export interface PeerReportsOptions {
--- a/packages/serving/src/ports.ts
+++ b/packages/serving/src/ports.ts
@@ -39,6 +39,11 @@
     ttlMs: number,
     signal: AbortSignal,
   ): Promise<Result<string, SendFailure>>;
+  /**
+   * Whether the upstream's process accepts connections; `undefined` when that can't be told, as in a
+   * partition.
+   */
+  isListening(upstream: ServingUpstream): Promise<boolean | undefined>;
   /** Releases an unused reservation. */
   dropReservation(upstream: ServingUpstream, reservation: string): void;
   /** Orders an engine to change role after its running requests finish. */
--- a/packages/serving/src/prefill-prompt.ts
+++ b/packages/serving/src/prefill-prompt.ts
@@ -66,6 +66,7 @@
     const startedAt = monotonicMs();
     coldLimit.record(upstream.id);
     health.recordSend(upstream);
+    const finishRun = context.crashProtection.beginRun(upstream, req);
     const result = await transport.prefill({
       upstream,
       req,
@@ -76,6 +77,8 @@
       priority: admitted.organisation?.priority ?? route.priority,
       signal: limit.signal,
     });
+    const isBroken = result.isErr() && result.error.reason === 'broken' && !limit.signal.aborted;
+    finishRun(isBroken ? 'broken' : 'other');
     limit.stop();
     release();
     if (result.isOk()) {
--- a/packages/serving/src/relay-events.ts
+++ b/packages/serving/src/relay-events.ts
@@ -8,6 +8,8 @@
 export interface StreamProgress {
   lastId: string | undefined;
   hasEvents: boolean;
+  /** Number of blocks of events. */
+  blocks: number;
   lastEventAt: number;
 }
 
@@ -38,6 +40,7 @@
     progress.lastId = block.lastId ?? progress.lastId;
     if (!progress.hasEvents) onFirstEvent();
     progress.hasEvents = true;
+    progress.blocks += 1;
     const now = monotonicMs();
     if (previousAt !== undefined) onPause(now - previousAt);
     previousAt = now;
--- a/packages/serving/src/serve-plain.ts
+++ b/packages/serving/src/serve-plain.ts
@@ -7,12 +7,14 @@
 import { createPlacementContext, organisationOf, remainingMs } from './context.js';
 import type { AdmittedRequest, ServingContext } from './context.js';
 import type { KnownUpstream } from './directory.js';
-import { describeFailure, describeTimeout, gotNoResponse } from './failures.js';
+import { describeBlocked, describeFailure, describeTimeout, gotNoResponse } from './failures.js';
 import type { ServingFailure } from './failures.js';
 import { readFullBody } from './http-exchange.js';
+import type { QuarantinedPart } from './part-quarantine.js';
 import { rankPlain } from './placement.js';
 import { startTimeLimit } from './time-limit.js';
 import type { SendFailure, UpstreamReply } from './types.js';
+import type { RunEnd } from './upstream-ends.js';
 
 /** Maximum number of sends of one request, including those that the upstream refuses. */
 const MAX_SENDS = 4;
@@ -31,6 +33,16 @@
 
 const isUpstreamError = ({ reply }: PlainResponse): boolean => reply.status >= 500;
 
+function describeRunEnd(
+  sent: Result<UpstreamReply, SendFailure>,
+  body: Buffer | undefined,
+  isAborted: boolean,
+): RunEnd {
+  if (sent.isOk() && body !== undefined) return sent.value.status < 300 ? 'answered' : 'other';
+  const isBroken = sent.isOk() || sent.error.reason === 'broken';
+  return isBroken && !isAborted ? 'broken' : 'other';
+}
+
 async function sendOnce(
   context: ServingContext,
   admitted: AdmittedRequest,
@@ -42,6 +54,7 @@
   const limit = startTimeLimit(admitted.signal, limitMs);
   coldLimit.record(upstream.id);
   health.recordSend(upstream);
+  const finishRun = context.crashProtection.beginRun(upstream, admitted.req);
   const sent = await transport.send({
     upstream,
     req: admitted.req,
@@ -51,6 +64,7 @@
     signal: limit.signal,
   });
   const body = sent.isOk() ? await readFullBody(sent.value) : undefined;
+  finishRun(describeRunEnd(sent, body, limit.signal.aborted));
   limit.stop();
   release();
   if (sent.isErr()) {
@@ -82,12 +96,15 @@
   let runs = 0;
   let effect: 'not_run' | 'unknown' = 'not_run';
   let lastResponse: PlainResponse | undefined;
+  let blocked: QuarantinedPart | undefined;
   let lastFailure: SendFailure = { effect: 'not_run', wasSent: false, reason: 'unreachable' };
 
   for (let sends = 0; sends < MAX_SENDS && !signal.aborted; sends += 1) {
     const placement = createPlacementContext(context, pool, loads, excluded);
     const [upstream, alternative] = rankPlain(directory.usable(pool.id), placement);
     if (upstream === undefined) break;
+    blocked = context.crashProtection.findBlocked(req);
+    if (blocked !== undefined) break;
     if (sends > 0 && lastFailure.wasSent && !retryBudget.take(pool.id)) break;
     // A send is aborted early only when a retry can follow.
     const mayRetryElsewhere =
@@ -126,6 +143,11 @@
     sendBuffered(outgoing, lastResponse.reply, lastResponse.body);
     return undefined;
   }
+  if (blocked !== undefined) {
+    const failure = describeBlocked(blocked, effect);
+    sendError(outgoing, failure.error, failure.effect);
+    return failure;
+  }
   const failure = signal.aborted
     ? describeTimeout(effect)
     : describeFailure({ ...lastFailure, effect }, PLAIN_RETRY_AFTER_MS);
--- a/packages/serving/src/serve-stream.ts
+++ b/packages/serving/src/serve-stream.ts
@@ -5,7 +5,7 @@
 import { sendBuffered, sendError, startResponse } from './responses.js';
 import { organisationOf, remainingMs } from './context.js';
 import type { AdmittedRequest, EngineReservation, ServingContext } from './context.js';
-import { describeFailure, describeTimeout } from './failures.js';
+import { describeBlocked, describeFailure, describeTimeout } from './failures.js';
 import type { ServingFailure } from './failures.js';
 import { readFullBody } from './http-exchange.js';
 import { prefillPrompt } from './prefill-prompt.js';
@@ -138,6 +138,7 @@
   const { transport, health, coldLimit } = context;
   const { admitted, progress } = state;
   const { req, route } = admitted;
+  const blocksBefore = progress.blocks;
   const lastEventId = progress.lastId ?? req.lastEventId;
   const limit = startTimeLimit(admitted.signal, remainingMs(admitted));
   const stall = new AbortController();
@@ -145,6 +146,7 @@
   limit.signal.addEventListener('abort', abortRun, { once: true });
   const stopWatch = watchStall(state, abortRun);
   coldLimit.record(reservation.upstream.id);
+  const finishRun = context.crashProtection.beginRun(reservation.upstream, req);
   const sent = await transport.send({
     upstream: reservation.upstream,
     req,
@@ -160,6 +162,10 @@
   const outcome: RunOutcome = sent.isErr()
     ? { kind: 'failed', failure: sent.error }
     : await relay(context, state, reservation.upstream.id, sent.value);
+  const wasBroken = outcome.kind === 'failed' && outcome.failure.effect === 'unknown';
+  if (wasBroken && !stall.signal.aborted) finishRun('broken');
+  else
+    finishRun(outcome.kind === 'answered' && progress.blocks > blocksBefore ? 'answered' : 'other');
   stopWatch();
   limit.stop();
   if (outcome.kind === 'answered') health.recordSuccess(reservation.upstream);
@@ -191,13 +197,23 @@
   return prefilled;
 }
 
+function dropUnfetchedKv(context: ServingContext, state: StreamState): void {
+  if (state.unfetchedKv !== undefined) context.transport.dropHandle(state.unfetchedKv.handle);
+}
+
 async function runOnce(
   context: ServingContext,
   state: StreamState,
   reservation: EngineReservation,
 ): Promise<RunOutcome> {
-  const { transport, directory } = context;
+  const { transport, directory, crashProtection } = context;
   const { admitted, progress } = state;
+  const isBlocked = (): boolean => crashProtection.findBlocked(admitted.req) !== undefined;
+  // A part of the prompt may have been quarantined while the request waited.
+  if (isBlocked()) {
+    transport.dropReservation(reservation.upstream, reservation.id);
+    return { kind: 'not_sent' };
+  }
   // Another prefill would use the retry budget twice for a stream that continues here.
   const prefilled: PrefillOutcome = progress.hasEvents
     ? { kind: 'not_prefilled' }
@@ -213,13 +229,13 @@
         until: monotonicMs() + state.engineSettings.kvHandleTtlMs * HANDLE_REUSE_SHARE,
       };
   };
-  if (admitted.signal.aborted || !directory.isUsable(reservation.upstream)) {
+  if (admitted.signal.aborted || isBlocked() || !directory.isUsable(reservation.upstream)) {
     releaseUnused();
     context.telemetry.log('runNotSent', {
       request: admitted.req.id,
       upstream: reservation.upstream.id,
       hasPrompt: handle !== undefined,
-      reason: admitted.signal.aborted ? 'request ended' : 'engine out of service',
+      reason: admitted.signal.aborted ? 'request ended' : 'engine out of service or quarantine',
     });
     return { kind: 'not_sent' };
   }
@@ -265,7 +281,7 @@
   const state: StreamState = {
     admitted,
     engineSettings,
-    progress: { lastId: undefined, hasEvents: false, lastEventAt: 0 },
+    progress: { lastId: undefined, hasEvents: false, blocks: 0, lastEventAt: 0 },
     failedPrefill: new Set(),
     failedDecode: new Set(),
     unfetchedKv: undefined,
@@ -275,6 +291,11 @@
   };
   let lastFailure: SendFailure = { effect: 'not_run', wasSent: false, reason: 'unreachable' };
   for (let sends = 0; sends < MAX_SENDS && !signal.aborted; sends += 1) {
+    const blocked = context.crashProtection.findBlocked(req);
+    if (blocked !== undefined) {
+      dropUnfetchedKv(context, state);
+      return respondWithFailure(state, describeBlocked(blocked, state.effect));
+    }
     const reserved = await waitForReservation(context, state);
     if (reserved.isErr()) {
       if (signal.aborted) break;
@@ -304,7 +325,7 @@
     }
     if (signal.aborted || !mayRetry(context, state, lastFailure)) break;
   }
-  if (state.unfetchedKv !== undefined) context.transport.dropHandle(state.unfetchedKv.handle);
+  dropUnfetchedKv(context, state);
   if (signal.aborted) return respondWithFailure(state, describeTimeout(state.effect));
   return respondWithFailure(
     state,
--- a/packages/serving/src/serving-gateway.ts
+++ b/packages/serving/src/serving-gateway.ts
@@ -5,6 +5,7 @@
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import { hasFreeCapacity } from './free-capacity.js';
+import { describeQuarantine } from './failures.js';
 import { sendError } from './responses.js';
 import type { AdmittedRequest, HttpExchange, ServingContext } from './context.js';
 import { servePlain } from './serve-plain.js';
@@ -89,6 +90,8 @@
     if (pool === undefined) {
       return err(createError('no_capacity', 'the route has no pool; correct the tables', notRun));
     }
+    const blocked = context.crashProtection.findBlocked(req);
+    if (blocked !== undefined) return err(describeQuarantine(blocked));
     return ok({ route, pool, organisation });
   };
 
--- a/packages/serving/src/serving-node.ts
+++ b/packages/serving/src/serving-node.ts
@@ -1,6 +1,6 @@
 /** Assembles a node that serves requests on the platform. */
 import { dataCentreId, monotonicMs, sleep } from '@hibiscusbank/core';
-import type { PoolId, RouterError, Telemetry, UpstreamId } from '@hibiscusbank/core';
+import type { RouterError, Telemetry, UpstreamId } from '@hibiscusbank/core';
 import { createHttpServer } from '@hibiscusbank/gateway';
 import type { HttpServer } from '@hibiscusbank/gateway';
 import { createLease } from '@hibiscusbank/object-api';
@@ -11,13 +11,13 @@
 import { createChangeNotices, isChangeNotice } from './change-notices.js';
 import { createChangingRoles } from './changing-roles.js';
 import { createColdLimit } from './cold-limit.js';
-import type { EngineReservation, HttpExchange, ServingContext } from './context.js';
+import type { HttpExchange, ServingContext } from './context.js';
+import { createCrashProtection } from './crash-protection.js';
 import { computeReachableShare, createDataCentreContact } from './data-centre-contact.js';
 import { createDirectory } from './directory.js';
 import { createEnginePace } from './engine-pace.js';
-import { createEngineQueue } from './engine-queue.js';
-import type { EngineQueue } from './engine-queue.js';
-import { createLivePeers } from './live-peers.js';
+import { createEngineQueues } from './engine-queues.js';
+import { createLivePeers, mergePeers } from './live-peers.js';
 import { createLeaseObjects } from './lease-objects.js';
 import { createMovedUpstreams } from './moved-upstreams.js';
 import { createNodeRegistry } from './node-registry.js';
@@ -35,6 +35,7 @@
 import type { EntryDecoders, EntryStore, UpstreamTransport } from './ports.js';
 import { createPrefillRate } from './prefill-rate.js';
 import { createPrefillWork } from './prefill-work.js';
+import { createReadinessApp } from './readiness-app.js';
 import { createRetryBudget } from './retry-budget.js';
 import { createRoleOrders } from './role-orders.js';
 import { createServingGateway } from './serving-gateway.js';
@@ -114,7 +115,6 @@
   const health = createUpstreamHealth(telemetry);
   const pace = createEnginePace();
   const directory = createDirectory(options.decoders, telemetry);
-  const queues = new Map<PoolId, EngineQueue<EngineReservation>>();
   const livePeers = createLivePeers();
   const changing = createChangingRoles(livePeers.reports);
   let draining = false;
@@ -132,14 +132,8 @@
     peerTimeoutMs: (fleet) => remoteTimeoutMs(fleet, fleet),
   });
 
-  const recipients = (): readonly KnownPeer[] => {
-    const all = new Map<string, KnownPeer>();
-    for (const peer of [...options.seeds, ...registry.peers(), ...livePeers.reports()]) {
-      all.set(`${peer.host}:${peer.port}`, peer);
-    }
-    all.delete(`${self.host}:${self.port}`);
-    return [...all.values()];
-  };
+  const recipients = (): readonly KnownPeer[] =>
+    mergePeers(self, [...options.seeds, ...registry.peers(), ...livePeers.reports()]);
 
   const localPeerReports = () =>
     livePeers.reports().filter(({ dataCentre }) => dataCentre === options.dataCentre);
@@ -155,10 +149,8 @@
     peers: recipients,
     telemetry,
   });
-  const reachableShare = (): number =>
-    computeReachableShare({ peers: registry.peers(), livePeers, contact });
   const quota = createOrganisationQuota({
-    reachableShare,
+    reachableShare: () => computeReachableShare({ peers: registry.peers(), livePeers, contact }),
     tolerance: options.quotaTolerance,
     startedAt: monotonicMs(),
     epoch: startedAt,
@@ -169,6 +161,14 @@
   });
 
   const datagrams = createPeerDatagrams({ self, telemetry });
+  const crashProtection = createCrashProtection({
+    self: self.node,
+    transport,
+    datagrams,
+    recipients,
+    peers: livePeers.names,
+    telemetry,
+  });
   const notices = createChangeNotices({ datagrams, recipients: localPeerReports });
 
   const feeds = createStoreFeeds({
@@ -216,6 +216,7 @@
       revisions: feeds.revisions(),
       changing: changing.localOrders(),
       prefillMs: prefillWork.localTotals(),
+      quarantined: crashProtection.report(),
     }),
     beforeRound: () => {
       watcherSelection.check();
@@ -233,6 +234,7 @@
       prefillLoads.applyPeer(report.node, report.prefill);
       prefillWork.applyPeer(report.node, report.startedAt, report.prefillMs);
       quota.applyReport(report);
+      crashProtection.applyReport(report.quarantined);
     },
     onTimeout: (node) => {
       quota.markAbsent(node);
@@ -243,14 +245,14 @@
 
   const receive = (message: unknown): void => {
     if (isChangeNotice(message)) feeds.byKind[message.notice]?.apply(message.delta);
-    else if (!reports.receive(message)) {
+    else if (!crashProtection.receive(message) && !reports.receive(message)) {
       telemetry.log('peerReportRejected', { error: 'unknown message format' });
     }
   };
 
   const roleOrders = createRoleOrders({
     self: self.node,
-    peers: () => livePeers.reports().map(({ node }) => node),
+    peers: livePeers.names,
     reachesMajority: () => (livePeers.reports().length + 1) * 2 > registry.names().length,
     changing,
     lease: (key) =>
@@ -278,6 +280,7 @@
       ...options.retryBudget,
       nodes: () => registry.names().length,
     }),
+    crashProtection,
     coldLimit: createColdLimit({ self: self.node, nodes: registry.names }),
     health,
     moved: createMovedUpstreams(),
@@ -288,14 +291,7 @@
     prefillRate: createPrefillRate(),
     isDataCentreSilent: contact.isSilent,
     isChanging: changing.isChanging,
-    queueFor: (pool) => {
-      let queue = queues.get(pool);
-      if (queue === undefined) {
-        queue = createEngineQueue({ retryAfterMs: () => QUEUE_RETRY_AFTER_MS });
-        queues.set(pool, queue);
-      }
-      return queue;
-    },
+    queueFor: createEngineQueues(() => QUEUE_RETRY_AFTER_MS),
     telemetry,
     random: Math.random,
   };
@@ -311,13 +307,14 @@
     idleTimeoutMs: () => idleMs() + IDLE_MARGIN_MS,
   });
 
-  const readinessApp = new Hono();
-  readinessApp.get(options.readiness.path, (c) =>
-    c.body(null, directory.isComplete() && !draining ? 200 : 503),
-  );
-  readinessApp.get('/metrics', async (c) => c.text(await telemetry.metrics.registry.metrics()));
+  const readinessApp = createReadinessApp({
+    path: options.readiness.path,
+    isReady: () => directory.isComplete() && !draining,
+    telemetry,
+  });
   const readinessServer = createHttpServer(readinessApp.fetch, options.readiness);
-  const peerServer = createHttpServer(lists.app.fetch, options.peers);
+  const peerApp = new Hono().route('/', lists.app).route('/', crashProtection.app);
+  const peerServer = createHttpServer(peerApp.fetch, options.peers);
   const servers: readonly HttpServer[] = [callerServer, readinessServer, peerServer];
 
   return {
--- a/packages/serving/src/types.ts
+++ b/packages/serving/src/types.ts
@@ -133,6 +133,11 @@
   /** Maximum time that the caller waits, from the arrival of the request. */
   readonly maxWaitMs: number | undefined;
   readonly usage: ModelUsage | undefined;
+  /**
+   * Ids of the parts of the prompt that other requests may share, in the order of the prompt. Empty
+   * if the caller states none.
+   */
+  readonly promptParts: readonly string[];
   /** Id of the last event that the caller of a resumed stream received. */
   readonly lastEventId: string | undefined;
 }
--- /dev/null
+++ b/packages/serving/test/part-quarantine.test.ts
@@ -0,0 +1,155 @@
+import { createTelemetry } from '@hibiscusbank/core';
+import { afterEach, beforeEach, expect, test, vi } from 'vitest';
+import { createPartQuarantine } from '../src/part-quarantine.js';
+import type { EndedRun, PartQuarantine } from '../src/part-quarantine.js';
+
+beforeEach(() => {
+  vi.useFakeTimers({ toFake: ['setTimeout', 'clearTimeout', 'performance'] });
+});
+
+afterEach(() => {
+  vi.useRealTimers();
+});
+
+const MINUTE_MS = 60_000;
+
+function createQuarantine(mayTry = true): PartQuarantine {
+  return createPartQuarantine({ mayTry: () => mayTry, telemetry: createTelemetry({}, () => {}) });
+}
+
+const run = (ageMs: number, ...parts: string[]): EndedRun => ({ parts, ageMs });
+const blockedPart = (quarantine: PartQuarantine, ...parts: string[]): string | undefined =>
+  quarantine.findBlocked('probe', parts)?.part;
+
+/** Ends one engine after the other under a new request with each of the lists of parts. */
+function endInTurn(quarantine: PartQuarantine, lists: readonly (readonly string[])[]): void {
+  lists.forEach((parts, index) => {
+    vi.advanceTimersByTime(1_000);
+    quarantine.recordEnd({ key: `engine-${index}`, runs: [run(50, ...parts)] });
+  });
+}
+
+const deadly = ['guide', 'deadly'];
+
+test('a part under which three engines ended in turn is quarantined', () => {
+  const quarantine = createQuarantine();
+  endInTurn(quarantine, [deadly, deadly]);
+  expect(blockedPart(quarantine, ...deadly)).toBeUndefined();
+  vi.advanceTimersByTime(1_000);
+  quarantine.recordEnd({ key: 'third', runs: [run(50, ...deadly)] });
+  expect(blockedPart(quarantine, ...deadly)).toBe('deadly');
+});
+
+// Guards against blocking an organisation's sound requests, which share its first part.
+test('only the most specific part is quarantined, and other parts are no longer suspected', () => {
+  const quarantine = createQuarantine();
+  endInTurn(quarantine, [deadly, deadly, deadly]);
+  expect(blockedPart(quarantine, 'guide')).toBeUndefined();
+  expect(quarantine.isSuspected(['guide'])).toBe(false);
+});
+
+test('a part that an engine answers between the ends is not quarantined', () => {
+  const quarantine = createQuarantine();
+  endInTurn(quarantine, [['guide'], ['guide']]);
+  quarantine.clear(['guide']);
+  vi.advanceTimersByTime(1_000);
+  quarantine.recordEnd({ key: 'third', runs: [run(50, 'guide')] });
+  expect(blockedPart(quarantine, 'guide')).toBeUndefined();
+});
+
+// Guards against condemning sound parts when a rack or a data centre loses power.
+test('engines that end together count once for the parts that they were running', () => {
+  const quarantine = createQuarantine();
+  for (const key of ['a', 'b', 'c', 'd']) {
+    quarantine.recordEnd({ key, runs: [run(2_000, 'guide'), run(900, 'other')] });
+    vi.advanceTimersByTime(20);
+  }
+  expect(blockedPart(quarantine, 'guide', 'other')).toBeUndefined();
+});
+
+test('an end that several nodes report counts once', () => {
+  const quarantine = createQuarantine();
+  for (const ageMs of [50, 40, 30, 20]) {
+    vi.advanceTimersByTime(100);
+    quarantine.recordEnd({ key: 'engine-1', runs: [run(ageMs, ...deadly)] });
+  }
+  expect(blockedPart(quarantine, ...deadly)).toBeUndefined();
+});
+
+// Guards against condemning a sound stream that is resumed on one ending engine after the other.
+test('a part that was running beside the deadly one is not suspected after the quarantine', () => {
+  const quarantine = createQuarantine();
+  for (const key of ['a', 'b', 'c']) {
+    vi.advanceTimersByTime(1_000);
+    quarantine.recordEnd({ key, runs: [run(500, 'sound'), run(40, ...deadly)] });
+  }
+  expect(blockedPart(quarantine, ...deadly)).toBe('deadly');
+  expect(quarantine.isSuspected(['sound'])).toBe(false);
+  // A late report of another node about the same end does not bring the suspicion back.
+  quarantine.recordEnd({ key: 'c', runs: [run(400, 'sound')] });
+  expect(quarantine.isSuspected(['sound'])).toBe(false);
+});
+
+test('after the quarantine one request at a time tries the part, at one node', () => {
+  const quarantine = createQuarantine();
+  const elsewhere = createQuarantine(false);
+  for (const node of [quarantine, elsewhere]) endInTurn(node, [deadly, deadly, deadly]);
+  vi.advanceTimersByTime(MINUTE_MS);
+  expect(elsewhere.findBlocked('one', deadly)?.part).toBe('deadly');
+  expect(quarantine.findBlocked('one', deadly)).toBeUndefined();
+  expect(quarantine.findBlocked('one', deadly)).toBeUndefined();
+  expect(quarantine.findBlocked('two', deadly)?.part).toBe('deadly');
+});
+
+test('a part that recovered is free after its first answer', () => {
+  const quarantine = createQuarantine();
+  endInTurn(quarantine, [deadly, deadly, deadly]);
+  vi.advanceTimersByTime(MINUTE_MS);
+  expect(quarantine.findBlocked('one', deadly)).toBeUndefined();
+  expect(quarantine.clear(deadly)).toEqual(['deadly']);
+  expect(quarantine.findBlocked('two', deadly)).toBeUndefined();
+});
+
+test('a failed try doubles the quarantine', () => {
+  const quarantine = createQuarantine();
+  endInTurn(quarantine, [deadly, deadly, deadly]);
+  vi.advanceTimersByTime(MINUTE_MS);
+  quarantine.findBlocked('one', deadly);
+  quarantine.recordEnd({ key: 'again', runs: [run(30, ...deadly)] });
+  vi.advanceTimersByTime(MINUTE_MS + 1_000);
+  expect(quarantine.findBlocked('two', deadly)?.lengthMs).toBe(2 * MINUTE_MS);
+});
+
+// Guards against memory that grows with callers who send endless new parts.
+test('the number of suspected parts is bounded, and quarantined ones are kept', () => {
+  const quarantine = createQuarantine();
+  endInTurn(quarantine, [deadly, deadly, deadly]);
+  let suspected = 0;
+  for (let end = 0; end < 40; end += 1) {
+    vi.advanceTimersByTime(1_000);
+    const runs = Array.from({ length: 100 }, (_, index) => run(10, `part-${end}-${index}`));
+    quarantine.recordEnd({ key: `flood-${end}`, runs });
+  }
+  for (let end = 0; end < 40; end += 1) {
+    for (let index = 0; index < 100; index += 1) {
+      if (quarantine.isSuspected([`part-${end}-${index}`])) suspected += 1;
+    }
+  }
+  expect(suspected).toBeLessThanOrEqual(2_000);
+  expect(blockedPart(quarantine, ...deadly)).toBe('deadly');
+});
+
+// Guards against a restarted node that sends what its peers know to be deadly.
+test('a node adopts the quarantine of a peer, unless it has cleared the part since', () => {
+  const quarantine = createQuarantine();
+  endInTurn(quarantine, [deadly, deadly, deadly]);
+  const [known] = quarantine.list();
+  if (known === undefined) throw new Error('no part is quarantined');
+  const restarted = createQuarantine();
+  expect(restarted.adopt(known)).toBe(true);
+  expect(blockedPart(restarted, ...deadly)).toBe('deadly');
+  vi.advanceTimersByTime(1_000);
+  restarted.clear(deadly);
+  expect(restarted.adopt({ ...known, ageMs: known.ageMs + 1_000 })).toBe(false);
+  expect(blockedPart(restarted, ...deadly)).toBeUndefined();
+});
--- a/packages/serving/test/peer-reports.test.ts
+++ b/packages/serving/test/peer-reports.test.ts
@@ -22,6 +22,7 @@
   revisions: {},
   changing: {},
   prefillMs: {},
+  quarantined: [],
 };
 
 function createPeers(count: number, dataCentres: number): KnownPeer[] {
--- a/packages/serving/test/serve-stream.test.ts
+++ b/packages/serving/test/serve-stream.test.ts
@@ -310,3 +310,36 @@
   for (const end of finish) end();
   for (const res of await Promise.all(responses)) expect(await res.text()).toBe(event(1));
 });
+
+// Guards against requests of one kind that end one engine after the other.
+test('a prompt part under which three engines ended is refused as not run and reaches no engine', async () => {
+  const transport = createFakeTransport();
+  transport.reply = async ({ req }) =>
+    ok(createReply([event(1)], !req.promptParts.includes('deadly')));
+  transport.isListening = async () => false;
+  const started = await startEngines(transport);
+  const send = (parts: string): Promise<Response> =>
+    fetch(`${started.url}/note/1`, {
+      method: 'POST',
+      body: 'prompt',
+      headers: { authorization: 'Bearer key-1', 'x-usage': '5000,800', 'x-parts': parts },
+    });
+  for (const upstream of ['d1', 'd2', 'd3']) {
+    transport.reserveReply = async ({ id }) => (id === upstream ? ok('held') : err(refused));
+    await expect((await send('guide,deadly')).text()).rejects.toThrow();
+  }
+  transport.reserveReply = async () => ok('held');
+  const { length: sendsBefore } = transport.sends;
+  const { length: prefillsBefore } = transport.prefills;
+  const res = await send('guide,deadly');
+  expect(res.status).toBe(503);
+  expect(Number(res.headers.get('retry-after'))).toBeGreaterThan(1);
+  expect(await res.json()).toMatchObject({
+    error: { type: 'quarantined', outcome: 'not_run', message: expect.stringContaining('deadly') },
+  });
+  expect([transport.sends.length, transport.prefills.length]).toEqual([
+    sendsBefore,
+    prefillsBefore,
+  ]);
+  expect(await (await send('guide')).text()).toBe(event(1));
+});
--- a/packages/serving/test/support/test-node.ts
+++ b/packages/serving/test/support/test-node.ts
@@ -182,6 +182,7 @@
       transport.orders.push(order);
       return transport.orderReply(order);
     },
+    isListening: async () => true,
     dropReservation: (_, reservation) => transport.dropped.push(reservation),
     dropHandle: ({ handle }) => transport.dropped.push(handle),
     retain: () => {},
@@ -281,6 +282,9 @@
                 maxOutputTokens: Number(usage[2]),
                 expectedOutputTokens: undefined,
               },
+        promptParts: String(headers['x-parts'] ?? '')
+          .split(',')
+          .filter(Boolean),
         lastEventId: headers['last-event-id']?.toString(),
       });
     },
