Let watches of upstreams wait as long as their bound permits

Change: one rule for the wait of all kinds. The tests play the bounds of the small and of the large site.

--- a/packages/serving/src/store-feeds.ts
+++ b/packages/serving/src/store-feeds.ts
@@ -7,20 +7,16 @@
 import { computeMaxWaitMs } from './store-timing.js';
 import type { WatcherSelection } from './watcher-selection.js';
 
-/**
- * Maximum wait of one watch of the configuration or of the data centres out of service, if the
- * bounds permit it. Both rarely change.
- */
-const DEFAULT_WATCH_MS = 5_000;
+/** Maximum wait of one watch, if the bounds permit it. */
+const WATCH_MS = 5_000;
+/** Pause between two watches of entries that rarely change. */
 const DEFAULT_PAUSE_MS = 30;
-/**
- * The same for upstreams. Their entries change several times a second; the pause between watches
- * batches the changes.
- */
-const UPSTREAM_WATCH_MS = 1_000;
 /** Maximum pause after a failed call, if the bounds permit it. */
 const DEFAULT_RETRY_MS = 1_200;
-/** Fraction of `stopSendingWithinMs` that the pause between two watches of upstreams may take. */
+/**
+ * Fraction of `stopSendingWithinMs` that the pause between two watches of upstreams may take. Their
+ * entries change several times a second; the pause batches the changes.
+ */
 const UPSTREAM_PAUSE_SHARE = 0.3;
 
 type Entries = ReadonlyMap<string, StoredEntry>;
@@ -83,7 +79,7 @@
     kind: string,
     store: EntryStore,
     withinMs: number,
-    feedOptions: Pick<FeedOptions, 'waitMs' | 'pauseMs' | 'onChange' | 'digest'>,
+    feedOptions: Pick<FeedOptions, 'pauseMs' | 'onChange' | 'digest'>,
   ): EntryFeed => {
     const maxWaitMs = computeMaxWaitMs(Math.max(bounds.recoveryMs, withinMs));
     return createEntryFeed({
@@ -93,26 +89,24 @@
       whenSelected: watcherSelection.whenSelected,
       onStoreDelta: (delta) => onStoreDelta(kind, delta),
       maxRetryMs: Math.min(DEFAULT_RETRY_MS, maxWaitMs),
+      waitMs: Math.min(WATCH_MS, maxWaitMs),
       ...feedOptions,
-      waitMs: Math.min(feedOptions.waitMs, maxWaitMs),
     });
   };
-  const defaults = { waitMs: DEFAULT_WATCH_MS, pauseMs: DEFAULT_PAUSE_MS };
   const digest = createUpstreamDigest(options.decoders);
   const upstreams = create('upstreams', stores.upstreams, bounds.stopSendingWithinMs, {
-    waitMs: UPSTREAM_WATCH_MS,
     pauseMs: bounds.stopSendingWithinMs * UPSTREAM_PAUSE_SHARE,
     onChange: options.onUpstreams,
     ...(digest === undefined ? {} : { digest }),
   });
   const byKind: Readonly<Record<string, EntryFeed>> = {
     tables: create('tables', stores.tables, bounds.applyTablesWithinMs, {
-      ...defaults,
+      pauseMs: DEFAULT_PAUSE_MS,
       onChange: options.onTables,
     }),
     upstreams,
     outOfService: create('outOfService', stores.outOfService, bounds.leaveDataCentreWithinMs, {
-      ...defaults,
+      pauseMs: DEFAULT_PAUSE_MS,
       onChange: options.onOutOfService,
     }),
   };
--- a/packages/serving/test/store-feeds.test.ts
+++ b/packages/serving/test/store-feeds.test.ts
@@ -1,25 +1,30 @@
 import { createTelemetry } from '@hibiscusbank/core';
 import { afterEach, beforeEach, expect, test, vi } from 'vitest';
-import type { StoredEntry } from '../src/index.js';
+import type { KnowledgeBounds, StoredEntry } from '../src/index.js';
 import { createStoreFeeds } from '../src/store-feeds.js';
 import { createFakeStore } from './support/fake-store.js';
 import type { FakeStore } from './support/fake-store.js';
 
-const BOUNDS = {
+const SMALL_SITE: KnowledgeBounds = {
   recoveryMs: 3_000,
   applyTablesWithinMs: 2_000,
   stopSendingWithinMs: 2_000,
   leaveDataCentreWithinMs: 5_000,
 };
+const LARGE_SITE: KnowledgeBounds = {
+  recoveryMs: 5_000,
+  applyTablesWithinMs: 4_000,
+  stopSendingWithinMs: 4_000,
+  leaveDataCentreWithinMs: 5_000,
+};
 const KINDS = ['tables', 'upstreams', 'outOfService'] as const;
 type Kind = (typeof KINDS)[number];
 
-/** Time after the end of a silence by which each kind of change has to be known. */
-const KNOWN_WITHIN_MS: Readonly<Record<Kind, number>> = {
-  tables: 3_000,
-  upstreams: 3_000,
-  outOfService: 5_000,
-};
+/** Returns the time after the end of a silence by which a kind of change has to be known. */
+function knownWithinMs(bounds: KnowledgeBounds, kind: Kind): number {
+  const withinMs = kind === 'outOfService' ? bounds.leaveDataCentreWithinMs : 0;
+  return Math.max(bounds.recoveryMs, withinMs);
+}
 
 beforeEach(() => {
   vi.useFakeTimers({ toFake: ['setTimeout', 'clearTimeout', 'performance'] });
@@ -35,7 +40,7 @@
   stop(): void;
 }
 
-async function startFeeds(): Promise<Fixture> {
+async function startFeeds(bounds: KnowledgeBounds): Promise<Fixture> {
   const stores = {
     tables: createFakeStore(),
     upstreams: createFakeStore(),
@@ -53,7 +58,7 @@
       tables: () => undefined,
       upstream: () => undefined,
     },
-    bounds: BOUNDS,
+    bounds,
     watcherSelection: { whenSelected: async () => {} },
     onTables: record('tables'),
     onUpstreams: record('upstreams'),
@@ -70,8 +75,12 @@
 }
 
 /** Returns the kinds of which a change right after a silence of the stores becomes known too late. */
-async function findLateKinds(silenceMs: number, silenced: readonly Kind[]): Promise<Kind[]> {
-  const { stores, knows, stop } = await startFeeds();
+async function findLateKinds(
+  bounds: KnowledgeBounds,
+  silenceMs: number,
+  silenced: readonly Kind[],
+): Promise<Kind[]> {
+  const { stores, knows, stop } = await startFeeds(bounds);
   for (const kind of silenced) stores[kind].setSilent(true);
   await vi.advanceTimersByTimeAsync(silenceMs);
   for (const kind of silenced) stores[kind].setSilent(false);
@@ -79,8 +88,9 @@
   const late: Kind[] = [];
   let elapsedMs = 0;
   for (const kind of silenced) {
-    await vi.advanceTimersByTimeAsync(KNOWN_WITHIN_MS[kind] - elapsedMs);
-    elapsedMs = KNOWN_WITHIN_MS[kind];
+    const withinMs = knownWithinMs(bounds, kind);
+    await vi.advanceTimersByTimeAsync(withinMs - elapsedMs);
+    elapsedMs = withinMs;
     if (!knows(kind, 'added')) late.push(kind);
   }
   stop();
@@ -88,17 +98,24 @@
 }
 
 // Guards against watches that stay open beyond the outage in which they were silenced.
-test('a change after a silent outage is known in time, whatever the length of the outage', async () => {
-  const late: string[] = [];
-  for (let silenceMs = 100; silenceMs <= 20_000; silenceMs += 100) {
-    for (const kind of await findLateKinds(silenceMs, KINDS)) late.push(`${kind} ${silenceMs}`);
-  }
-  expect(late).toEqual([]);
-});
+test.each([SMALL_SITE, LARGE_SITE])(
+  'a change after a silent outage of any length is known in time (bounds %o)',
+  async (bounds) => {
+    const late: string[] = [];
+    for (let silenceMs = 100; silenceMs <= 20_000; silenceMs += 100) {
+      const kinds = await findLateKinds(bounds, silenceMs, KINDS);
+      late.push(...kinds.map((kind) => `${kind} ${silenceMs}`));
+    }
+    expect(late).toEqual([]);
+  },
+);
 
 // Guards against a watch whose connection hangs while the calls of other kinds are answered.
-test('a change is known in time after only one watch was silenced', async () => {
-  const late: Kind[] = [];
-  for (const kind of KINDS) late.push(...(await findLateKinds(1, [kind])));
-  expect(late).toEqual([]);
-});
+test.each([SMALL_SITE, LARGE_SITE])(
+  'a change is known in time after only one watch was silenced (bounds %o)',
+  async (bounds) => {
+    const late: Kind[] = [];
+    for (const kind of KINDS) late.push(...(await findLateKinds(bounds, 1, [kind])));
+    expect(late).toEqual([]);
+  },
+);
