Decide on the cause of an end when the reports of all nodes are in

Callers: sound requests that share only the first part with deadly ones could be refused. Found by reading.

Cause: a node decided with the first report of the third end. Where its own requests show the first part only, it quarantined that part before the report with the deadly one arrived, some milliseconds later.

Change: ends are counted at once; 30 ms later the most specific part with enough ends is quarantined, and its ends no longer count against others.

Ruled out: choosing the youngest run, which is often a sound one.

Measured: the new test fails without the delay ('guide' instead of 'deadly').

--- a/packages/serving/src/part-quarantine.ts
+++ b/packages/serving/src/part-quarantine.ts
@@ -11,6 +11,13 @@
 
 /** Ends of upstreams after which a part is quarantined. */
 const ENDS_TO_QUARANTINE = 3;
+/**
+ * Time between an end and the decision on its cause, in which the reports of all nodes arrive. The
+ * requests of a single node may show a part only that they share with the one that crashed it.
+ */
+const DECISION_DELAY_MS = 30;
+/** Maximum number of ends that are listed for a part. */
+const MAX_LISTED_ENDS = 10;
 /** Time after which one request at a time may try a quarantined part. Doubles after each failure. */
 const FIRST_QUARANTINE_MS = 60_000;
 const MAX_QUARANTINE_MS = 3_600_000;
@@ -81,6 +88,8 @@
 
 interface Suspicion {
   readonly ends: Set<string>;
+  /** Largest position in a prompt at which the part was seen; parts further back are more specific. */
+  position: number;
   /** Time of the last end that was counted. */
   countedAt: number;
   /** Time of the last end or refused request. */
@@ -94,6 +103,7 @@
   const clearedAt = new Map<string, number>();
   /** Keys of ends whose cause is known. */
   const explained = new Set<string>();
+  let decisionTimer: NodeJS.Timeout | undefined;
 
   const updateMetrics = (): void => {
     const count = [...suspicions.values()].filter(({ quarantine }) => quarantine !== undefined);
@@ -104,7 +114,7 @@
     part,
     ageMs: monotonicMs() - quarantine.since,
     lengthMs: quarantine.lengthMs,
-    ends: [...suspicion.ends],
+    ends: [...suspicion.ends].slice(-MAX_LISTED_ENDS),
   });
 
   const evictOldest = <T>(map: Map<string, T>, limit: number, age: (value: T) => number): void => {
@@ -118,6 +128,7 @@
     if (known !== undefined) return known;
     const created: Suspicion = {
       ends: new Set(),
+      position: 0,
       countedAt: -Infinity,
       usedAt: monotonicMs(),
       quarantine: undefined,
@@ -163,25 +174,34 @@
    * Counts an end against a part once. Runs that were sent before the previous end was counted give
    * no new evidence: upstreams that end together were running sound parts as well.
    */
-  const count = (part: string, key: string, sentAt: number): void => {
+  const count = (part: string, position: number, key: string, sentAt: number): void => {
     const suspicion = getOrCreate(part);
+    suspicion.position = Math.max(suspicion.position, position);
     if (suspicion.ends.has(key) || sentAt < suspicion.countedAt) return;
     suspicion.ends.add(key);
     suspicion.countedAt = monotonicMs();
     suspicion.usedAt = suspicion.countedAt;
   };
 
-  /** Quarantines the most specific part of a run that has enough ends, if any. */
-  const quarantineCulprit = ({ parts }: EndedRun): string | undefined => {
-    const culprit = parts.findLast(
-      (part) => (suspicions.get(part)?.ends.size ?? 0) >= ENDS_TO_QUARANTINE,
-    );
-    const suspicion = culprit === undefined ? undefined : suspicions.get(culprit);
-    if (culprit === undefined || suspicion === undefined) return undefined;
-    startQuarantine(culprit, suspicion, FIRST_QUARANTINE_MS);
+  /** Returns the most specific part with enough ends that is not quarantined yet. */
+  const findCulprit = (): readonly [string, Suspicion] | undefined => {
+    const [culprit] = [...suspicions]
+      .filter(
+        ([, { ends, quarantine }]) => quarantine === undefined && ends.size >= ENDS_TO_QUARANTINE,
+      )
+      .sort(([, a], [, b]) => b.position - a.position);
     return culprit;
   };
 
+  const decide = (): void => {
+    decisionTimer = undefined;
+    for (let culprit = findCulprit(); culprit !== undefined; culprit = findCulprit()) {
+      const [part, suspicion] = culprit;
+      startQuarantine(part, suspicion, FIRST_QUARANTINE_MS);
+      explain([...suspicion.ends], part);
+    }
+  };
+
   /** Counts an end against a part that is already quarantined, such as one that was tried. */
   const extendQuarantine = (part: string, key: string): void => {
     const suspicion = suspicions.get(part);
@@ -224,16 +244,9 @@
       if (explained.has(key)) return;
       const now = monotonicMs();
       for (const { parts, ageMs } of runs) {
-        for (const part of parts) count(part, key, now - ageMs);
-      }
-      // The youngest run is the most likely cause, since upstreams usually end at its start.
-      const youngestFirst = [...runs].sort((a, b) => a.ageMs - b.ageMs);
-      for (const run of youngestFirst) {
-        const culprit = quarantineCulprit(run);
-        if (culprit === undefined) continue;
-        explain([...(suspicions.get(culprit)?.ends ?? [])], culprit);
-        return;
+        parts.forEach((part, position) => count(part, position, key, now - ageMs));
       }
+      if (findCulprit() !== undefined) decisionTimer ??= setTimeout(decide, DECISION_DELAY_MS);
     },
     clear: (parts) => {
       const cleared = parts.filter((part) => suspicions.has(part));
--- a/packages/serving/test/part-quarantine.test.ts
+++ b/packages/serving/test/part-quarantine.test.ts
@@ -18,8 +18,11 @@
 }
 
 const run = (ageMs: number, ...parts: string[]): EndedRun => ({ parts, ageMs });
-const blockedPart = (quarantine: PartQuarantine, ...parts: string[]): string | undefined =>
-  quarantine.findBlocked('probe', parts)?.part;
+/** Returns the part for which a request is refused, after the reports of all nodes have arrived. */
+function blockedPart(quarantine: PartQuarantine, ...parts: string[]): string | undefined {
+  vi.advanceTimersByTime(50);
+  return quarantine.findBlocked('probe', parts)?.part;
+}
 
 /** Ends one engine after the other under a new request with each of the lists of parts. */
 function endInTurn(quarantine: PartQuarantine, lists: readonly (readonly string[])[]): void {
@@ -27,6 +30,7 @@
     vi.advanceTimersByTime(1_000);
     quarantine.recordEnd({ key: `engine-${index}`, runs: [run(50, ...parts)] });
   });
+  vi.advanceTimersByTime(50);
 }
 
 const deadly = ['guide', 'deadly'];
@@ -48,6 +52,19 @@
   expect(quarantine.isSuspected(['guide'])).toBe(false);
 });
 
+// Guards against a node whose own requests share only the first part with the one that ends engines.
+test('the first part is not quarantined when its ends are reported before those of the deadly part', () => {
+  const quarantine = createQuarantine();
+  for (const key of ['a', 'b', 'c']) {
+    vi.advanceTimersByTime(1_000);
+    quarantine.recordEnd({ key, runs: [run(20, 'guide')] });
+    vi.advanceTimersByTime(5);
+    quarantine.recordEnd({ key, runs: [run(60, ...deadly)] });
+  }
+  expect(blockedPart(quarantine, 'guide')).toBeUndefined();
+  expect(blockedPart(quarantine, ...deadly)).toBe('deadly');
+});
+
 test('a part that an engine answers between the ends is not quarantined', () => {
   const quarantine = createQuarantine();
   endInTurn(quarantine, [['guide'], ['guide']]);
--- a/packages/serving/test/serve-stream.test.ts
+++ b/packages/serving/test/serve-stream.test.ts
@@ -328,6 +328,7 @@
     transport.reserveReply = async ({ id }) => (id === upstream ? ok('held') : err(refused));
     await expect((await send('guide,deadly')).text()).rejects.toThrow();
   }
+  await waitUntil(() => started.events.some((line) => line.includes('prompt part quarantined')));
   transport.reserveReply = async () => ok('held');
   const { length: sendsBefore } = transport.sends;
   const { length: prefillsBefore } = transport.prefills;
