Forget a quarantined part after an hour without requests

Cause: old parts were dropped only when another upstream ended, and a part adopted from a peer counted as just used, so two nodes would have kept it alive.

Change: parts are dropped when the quarantine is listed for a report; reports tell how long a part has been idle, and a node keeps the latest use of all.

Measured: the test fails without the change (the part is still listed).

--- a/packages/serving/src/part-quarantine.ts
+++ b/packages/serving/src/part-quarantine.ts
@@ -29,6 +29,7 @@
 const MAX_PARTS = 2_000;
 /** Maximum number of ends whose cause is remembered. */
 const MAX_EXPLAINED_ENDS = 200;
+
 /** A request that an upstream was running when it ended. */
 export interface EndedRun {
   /** Parts of the prompt that other requests can share, in the order of the prompt. */
@@ -50,6 +51,8 @@
   readonly ageMs: number;
   /** Length of the quarantine in milliseconds; after it, single requests may try the part. */
   readonly lengthMs: number;
+  /** Time since the last end or refused request, in milliseconds. */
+  readonly idleMs: number;
   /** Keys of the ends that decided it. */
   readonly ends: readonly string[];
 }
@@ -114,6 +117,7 @@
     part,
     ageMs: monotonicMs() - quarantine.since,
     lengthMs: quarantine.lengthMs,
+    idleMs: monotonicMs() - suspicion.usedAt,
     ends: [...suspicion.ends].slice(-MAX_LISTED_ENDS),
   });
 
@@ -145,6 +149,7 @@
     const before = monotonicMs() - FORGET_AFTER_MS;
     for (const [part, { usedAt }] of suspicions) if (usedAt < before) suspicions.delete(part);
     for (const [part, at] of clearedAt) if (at < before) clearedAt.delete(part);
+    updateMetrics();
   };
 
   /** An end has one cause, so it no longer counts against other parts. */
@@ -262,25 +267,33 @@
       if (cleared.length > 0) updateMetrics();
       return cleared;
     },
-    adopt: ({ part, ageMs, lengthMs, ends }) => {
-      const since = monotonicMs() - ageMs;
+    adopt: ({ part, ageMs, lengthMs, idleMs, ends }) => {
+      const now = monotonicMs();
+      const since = now - ageMs;
       if ((clearedAt.get(part) ?? -Infinity) > since) return false;
-      const known = suspicions.get(part)?.quarantine;
-      if (known !== undefined && known.lengthMs >= lengthMs) return true;
+      if (idleMs > FORGET_AFTER_MS) return true;
+      const known = suspicions.get(part);
+      // The part is forgotten by all nodes when no request holds it at any of them.
+      const usedAt = Math.max(known?.usedAt ?? -Infinity, now - idleMs);
+      if (known !== undefined) known.usedAt = usedAt;
+      if ((known?.quarantine?.lengthMs ?? -1) >= lengthMs) return true;
       const suspicion = getOrCreate(part);
+      suspicion.usedAt = usedAt;
       for (const key of ends) suspicion.ends.add(key);
       startQuarantine(part, suspicion, Math.min(MAX_QUARANTINE_MS, lengthMs));
       if (suspicion.quarantine !== undefined) suspicion.quarantine.since = since;
       explain(ends, part);
       return true;
     },
-    list: () =>
-      [...suspicions]
+    list: () => {
+      forgetOld();
+      return [...suspicions]
         .flatMap(([part, suspicion]) =>
           suspicion.quarantine === undefined
             ? []
             : [describe(part, suspicion, suspicion.quarantine)],
         )
-        .sort((a, b) => a.ageMs - b.ageMs),
+        .sort((a, b) => a.ageMs - b.ageMs);
+    },
   };
 }
--- a/packages/serving/src/quarantine-notices.ts
+++ b/packages/serving/src/quarantine-notices.ts
@@ -49,11 +49,12 @@
 
 /** Whether a value from a peer's report is a quarantined part. */
 export function isQuarantinedPart(value: unknown): value is QuarantinedPart {
-  const { part, ageMs, lengthMs, ends } = (value ?? {}) as Partial<QuarantinedPart>;
+  const { part, ageMs, lengthMs, idleMs, ends } = (value ?? {}) as Partial<QuarantinedPart>;
   return (
     isPart(part) &&
     isNonNegative(ageMs) &&
     isNonNegative(lengthMs) &&
+    isNonNegative(idleMs) &&
     Array.isArray(ends) &&
     ends.length <= MAX_KEYS &&
     ends.every(isKey)
--- a/packages/serving/test/part-quarantine.test.ts
+++ b/packages/serving/test/part-quarantine.test.ts
@@ -137,6 +137,26 @@
   expect(quarantine.findBlocked('two', deadly)?.lengthMs).toBe(2 * MINUTE_MS);
 });
 
+// Guards against a quarantine that lasts forever because no other upstream ends.
+test('a part that no request held at any node for an hour is forgotten', () => {
+  const quarantine = createQuarantine(false);
+  const peer = createQuarantine(false);
+  endInTurn(quarantine, [deadly, deadly, deadly]);
+  quarantine.list().forEach(peer.adopt);
+  vi.advanceTimersByTime(59 * MINUTE_MS);
+  expect(blockedPart(quarantine, ...deadly)).toBe('deadly');
+  quarantine.list().forEach(peer.adopt);
+  for (let minute = 0; minute < 59; minute += 1) {
+    vi.advanceTimersByTime(MINUTE_MS);
+    expect(peer.list()).toHaveLength(1);
+    quarantine.list().forEach(peer.adopt);
+    peer.list().forEach(quarantine.adopt);
+  }
+  vi.advanceTimersByTime(2 * MINUTE_MS);
+  expect([quarantine.list(), peer.list()]).toEqual([[], []]);
+  expect(blockedPart(quarantine, ...deadly)).toBeUndefined();
+});
+
 // Guards against memory that grows with callers who send endless new parts.
 test('the number of suspected parts is bounded, and quarantined ones are kept', () => {
   const quarantine = createQuarantine();
