--- a/packages/serving/src/crash-protection.ts
+++ b/packages/serving/src/crash-protection.ts
@@ -16,11 +16,11 @@
 import { createUpstreamEnds } from './upstream-ends.js';
 import type { RunEnd } from './upstream-ends.js';
 
-/** Quarantined parts in a report, the latest first. */
+/** Maximum number of quarantined parts in a report, the latest first. */
 const MAX_REPORTED_PARTS = 50;
 /**
- * End notices that a node sends within `NOTICE_WINDOW_MS`. More upstreams end together for a reason in
- * common, of which no prompt is the cause, and a large fleet would be flooded.
+ * Maximum number of end notices that a node sends within `NOTICE_WINDOW_MS`, so that the loss of many
+ * upstreams at once does not flood a large fleet.
  */
 const MAX_NOTICES_IN_WINDOW = 5;
 const NOTICE_WINDOW_MS = 1_000;
--- a/packages/serving/src/serve-stream.ts
+++ b/packages/serving/src/serve-stream.ts
@@ -201,6 +201,11 @@
   if (state.unfetchedKv !== undefined) context.transport.dropHandle(state.unfetchedKv.handle);
 }
 
+function describeNotSent({ signal }: AdmittedRequest, isBlocked: boolean): string {
+  if (signal.aborted) return 'request ended';
+  return isBlocked ? 'prompt part quarantined' : 'engine out of service';
+}
+
 async function runOnce(
   context: ServingContext,
   state: StreamState,
@@ -235,7 +240,7 @@
       request: admitted.req.id,
       upstream: reservation.upstream.id,
       hasPrompt: handle !== undefined,
-      reason: admitted.signal.aborted ? 'request ended' : 'engine out of service or quarantine',
+      reason: describeNotSent(admitted, isBlocked()),
     });
     return { kind: 'not_sent' };
   }
