Keep all nodes together within the limits that upstreams state

Callers saw nothing; servers in need did: one that named a limit of 1.6 requests a second got 30 requests in 4 s, of 15 allowed.

Cause: nothing read Server-Limit. Class: a rate of one upstream that the whole fleet shares, decided by each node alone.

Change: responses are decoded once in platform/ and passed to the node as a statement of the upstream (events 1830 to 1833, two metrics, which also are what tells the hypotheses apart). Runs and prefill calls need a permit of the one node that grants for the upstream; while it does not answer, nodes use equal shares. While there are fewer permits than requests, the last one is kept for organisations with less than their share and for more urgent requests. What cannot be served in time is refused at once with the time until it could be.

Ruled out: equal shares of all nodes (waste most of a small limit, or break it), shares by demand in reports (too late in large fleets), routing an upstream's requests through few nodes (moves bodies and streams).

--- a/packages/core/src/events.ts
+++ b/packages/core/src/events.ts
@@ -136,6 +136,14 @@
   upstreamEnded: defineEvent(1827, 'warn', 'upstream ended while it ran requests'),
   partQuarantined: defineEvent(1828, 'error', 'prompt part quarantined; upstreams end under it'),
   partCleared: defineEvent(1829, 'info', 'quarantine of a prompt part lifted'),
+  upstreamLimitStated: defineEvent(1830, 'warn', 'upstream limits the requests of all nodes'),
+  upstreamLimitLifted: defineEvent(1831, 'info', 'upstream no longer limits the requests'),
+  upstreamLimitInvalid: defineEvent(1832, 'warn', 'upstream states a limit that cannot be read'),
+  permitRefused: defineEvent(
+    1833,
+    'info',
+    'request refused; all its upstreams limit their requests',
+  ),
   settingsReloaded: defineEvent(1816, 'info', 'settings reloaded'),
 
   invariantViolated: defineEvent(1901, 'error', 'invariant violated'),
--- a/packages/core/src/metrics.ts
+++ b/packages/core/src/metrics.ts
@@ -87,6 +87,18 @@
       help: 'Prompt parts in quarantine because upstreams ended under them',
       registers,
     }),
+    limitedUpstreams: new Gauge({
+      name: 'hibiscusbank_limited_upstreams',
+      help: 'Upstreams that limit the requests of all nodes together, by pool',
+      labelNames: ['pool'],
+      registers,
+    }),
+    permits: new Counter({
+      name: 'hibiscusbank_permits_total',
+      help: 'Requests for a permit of a limited upstream, by pool and outcome',
+      labelNames: ['pool', 'outcome'],
+      registers,
+    }),
     invariantViolations: new Counter({
       name: 'hibiscusbank_invariant_violations_total',
       help: 'Violated invariants by name',
--- /dev/null
+++ b/packages/serving/src/choose-plain.ts
@@ -0,0 +1,82 @@
+/**
+ * Chooses the plain upstream for a request, and waits for its permit where upstreams limit their
+ * requests. A request takes the best upstream that it may be sent to now; while all of them are
+ * limited, it waits for the earliest permit, or is refused at once if that comes too late.
+ */
+import { monotonicMs, sleep } from '@hibiscusbank/core';
+import type { UpstreamId } from '@hibiscusbank/core';
+import { createPermitAsk, createPlacementContext, remainingMs } from './context.js';
+import type { AdmittedRequest, ServingContext } from './context.js';
+import type { KnownUpstream } from './directory.js';
+import type { PermitAsk } from './permit-grants.js';
+import { rankPlain } from './placement.js';
+
+/** Fraction of the target that a response takes; the rest can be spent waiting for a permit. */
+const RESPONSE_TARGET_SHARE = 0.4;
+
+export type PlainChoice =
+  | {
+      readonly kind: 'chosen';
+      readonly upstream: KnownUpstream;
+      readonly alternative: KnownUpstream | undefined;
+    }
+  /** No upstream can take the request. */
+  | { readonly kind: 'none' }
+  /** All upstreams limit their requests; the next place is free after `retryAfterMs`. */
+  | { readonly kind: 'limited'; readonly retryAfterMs: number };
+
+interface Refusal {
+  readonly upstream: KnownUpstream;
+  readonly waitMs: number;
+}
+
+/** Chooses an upstream that is not in `excluded`. */
+export async function choosePlain(
+  context: ServingContext,
+  admitted: AdmittedRequest,
+  excluded: ReadonlySet<UpstreamId>,
+): Promise<PlainChoice> {
+  const { directory, loads, permits, telemetry } = context;
+  const { pool, route, req, signal } = admitted;
+  const responseMs = route.targetMs * RESPONSE_TARGET_SHARE;
+  const passedMs = monotonicMs() - admitted.startedAt;
+  const ask: PermitAsk = {
+    ...createPermitAsk(admitted),
+    onTargetMs: Math.max(0, route.targetMs - responseMs - passedMs),
+    maxWaitMs: Math.max(0, remainingMs(admitted) - responseMs),
+  };
+  const refusedBy = new Map<UpstreamId, Refusal>();
+  const rank = (without: ReadonlySet<UpstreamId>, maxWaitMs: number): readonly KnownUpstream[] =>
+    rankPlain(
+      directory.usable(pool.id),
+      createPlacementContext(context, pool, loads, without, maxWaitMs),
+    );
+
+  while (!signal.aborted) {
+    const [upstream, alternative] = rank(new Set([...excluded, ...refusedBy.keys()]), 0);
+    if (upstream === undefined) break;
+    const { isGranted, waitMs } = await permits.acquire(upstream, createPermitAsk(admitted));
+    if (isGranted) return { kind: 'chosen', upstream, alternative };
+    refusedBy.set(upstream.id, { upstream, waitMs });
+  }
+  const waits = rank(excluded, Infinity).map((upstream) => ({
+    upstream,
+    waitMs: refusedBy.get(upstream.id)?.waitMs ?? permits.nextPermitMs(upstream),
+  }));
+  waits.sort((a, b) => a.waitMs - b.waitMs);
+  const [earliest] = waits;
+  if (earliest === undefined || signal.aborted) return { kind: 'none' };
+  const { upstream } = earliest;
+  const last = await permits.acquire(upstream, ask);
+  if (last.isGranted) {
+    await sleep(last.waitMs, signal);
+    if (signal.aborted || !directory.isUsable(upstream)) return { kind: 'none' };
+    return { kind: 'chosen', upstream, alternative: undefined };
+  }
+  telemetry.log('permitRefused', {
+    request: req.id,
+    upstream: upstream.id,
+    retryAfterMs: last.waitMs,
+  });
+  return { kind: 'limited', retryAfterMs: last.waitMs };
+}
--- a/packages/serving/src/context.ts
+++ b/packages/serving/src/context.ts
@@ -15,10 +15,12 @@
 import type { EngineQueue } from './engine-queue.js';
 import type { MovedUpstreams } from './moved-upstreams.js';
 import type { OrganisationQuota } from './organisation-quota.js';
+import type { PermitAsk } from './permit-grants.js';
 import type { PlacementContext } from './placement.js';
 import type { UpstreamTransport } from './ports.js';
 import type { PrefillRate } from './prefill-rate.js';
 import type { PrefillWork } from './prefill-work.js';
+import type { RequestLimits } from './request-limits.js';
 import type { RetryBudget } from './retry-budget.js';
 import type {
   ServingOrganisation,
@@ -37,6 +39,8 @@
   readonly quota: OrganisationQuota;
   readonly retryBudget: RetryBudget;
   readonly coldLimit: ColdLimit;
+  /** Permits for requests to upstreams that limit the rate of all nodes. */
+  readonly permits: Pick<RequestLimits, 'mayAsk' | 'nextPermitMs' | 'acquire' | 'expectedRate'>;
   readonly crashProtection: Pick<CrashProtection, 'findBlocked' | 'beginRun'>;
   readonly health: UpstreamHealth;
   /** Upstreams whose entry is out of date. */
@@ -96,14 +100,28 @@
   return Math.max(1, Math.floor(deadlineAt - monotonicMs()));
 }
 
-/** Creates the view of upstreams on which placement decisions are based. */
+/** Returns the ask for a permit of a request that cannot wait for it. */
+export function createPermitAsk(admitted: AdmittedRequest): PermitAsk {
+  return {
+    organisation: organisationOf(admitted) ?? '',
+    priority: admitted.organisation?.priority ?? admitted.route.priority,
+    onTargetMs: 0,
+    maxWaitMs: 0,
+  };
+}
+
+/**
+ * Creates the view of upstreams on which placement decisions are based, for a request that can wait
+ * for a permit for `maxPermitWaitMs`.
+ */
 export function createPlacementContext(
   context: ServingContext,
   pool: ServingPool,
   loads: UpstreamLoads,
   excluded: ReadonlySet<UpstreamId>,
+  maxPermitWaitMs = 0,
 ): PlacementContext {
-  const { coldLimit, health } = context;
+  const { coldLimit, health, permits } = context;
   return {
     dataCentre: context.dataCentre,
     excluded,
@@ -121,7 +139,9 @@
           context.pace.isSlow(upstream.id),
         isCold,
         isChanging: context.isChanging(upstream) || context.moved.has(upstream),
-        isWithinColdLimit: !isCold || coldLimit.isAllowed(upstream.id, pool.coldRequestsPerSecond),
+        isWithinRateLimits:
+          permits.mayAsk(upstream, maxPermitWaitMs) &&
+          (!isCold || coldLimit.isAllowed(upstream.id, pool.coldRequestsPerSecond)),
       };
     },
   };
--- a/packages/serving/src/failures.ts
+++ b/packages/serving/src/failures.ts
@@ -19,6 +19,14 @@
   );
 }
 
+/** Returns the error for a request for which upstreams at their limits have no place in time. */
+export function describeLimited(retryAfterMs: number): RouterError {
+  return createError('no_capacity', 'all upstreams limit their requests; retry later', {
+    effect: 'not_run',
+    retryAfterMs,
+  });
+}
+
 /** Converts a failed attempt to an error that claims no more about its effect than is known. */
 export function describeFailure(failure: SendFailure, retryAfterMs: number): ServingFailure {
   if (failure.effect === 'not_run') {
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -4,6 +4,7 @@
 export type { KnownPeer } from './peer-reports.js';
 export * from './ports.js';
 export * from './serving-node.js';
+export type { ServingNodeOptions } from './serving-node-options.js';
 export * from './types.js';
 export * from './line-log.js';
 export { STORE_CALL_TIMEOUT_MS } from './store-timing.js';
--- a/packages/serving/src/peer-reports.ts
+++ b/packages/serving/src/peer-reports.ts
@@ -5,6 +5,7 @@
 import type { PeerDatagrams } from './peer-datagrams.js';
 import type { Spending } from './spending-totals.js';
 import type { PrefillTotals } from './prefill-work.js';
+import type { LimitStatement } from './stated-limits.js';
 import type { EngineRole } from './types.js';
 import type { LoadReport } from './upstream-loads.js';
 
@@ -65,6 +66,8 @@
   readonly prefillMs: PrefillTotals;
   /** Prompt parts that the node has quarantined, the latest first. */
   readonly quarantined: readonly QuarantinedPart[];
+  /** Limits that upstreams stated, to this node or to others. */
+  readonly limits: readonly LimitStatement[];
 }
 
 export type LocalState = Pick<
@@ -78,6 +81,7 @@
   | 'changing'
   | 'prefillMs'
   | 'quarantined'
+  | 'limits'
 >;
 
 export interface PeerReportsOptions {
--- a/packages/serving/src/placement.ts
+++ b/packages/serving/src/placement.ts
@@ -12,10 +12,10 @@
   readonly failureRate: number;
   readonly isEjected: boolean;
   /**
-   * Whether the rate limit for cold upstreams permits another request. True for upstreams that are
-   * not cold.
+   * Whether the rate limit for cold upstreams and the limit that the upstream states leave room for
+   * another request.
    */
-  readonly isWithinColdLimit: boolean;
+  readonly isWithinRateLimits: boolean;
   readonly isCold: boolean;
   /**
    * Whether the upstream is changing role, or is not what its entry says; it gets no requests then.
@@ -89,7 +89,7 @@
   for (const upstream of candidates) {
     if (context.excluded.has(upstream.id)) continue;
     const state = context.readState(upstream);
-    if (!state.isWithinColdLimit || state.isChanging) continue;
+    if (!state.isWithinRateLimits || state.isChanging) continue;
     const score =
       scoreLoad(state) +
       state.failureRate * FAILURE_PENALTY_REQUESTS +
--- a/packages/serving/src/ports.ts
+++ b/packages/serving/src/ports.ts
@@ -11,6 +11,7 @@
   ServingUpstream,
   UpstreamReply,
   UpstreamSend,
+  UpstreamStatement,
 } from './types.js';
 
 export interface RoleOrder {
@@ -50,6 +51,8 @@
   orderRole(order: RoleOrder): Promise<Result<void, SendFailure>>;
   /** Releases a KV cache that no engine will fetch. */
   dropHandle(handle: KvHandle): void;
+  /** Registers the function that receives what upstreams state in their responses to requests. */
+  onStatement(listener: (upstream: ServingUpstream, statement: UpstreamStatement) => void): void;
   /** Closes connections to all upstreams except the given ones. */
   retain(upstreams: readonly ServingUpstream[]): void;
 }
--- a/packages/serving/src/prefill-prompt.ts
+++ b/packages/serving/src/prefill-prompt.ts
@@ -1,7 +1,7 @@
 /** Prefills prompts on prefill engines. */
 import { monotonicMs } from '@hibiscusbank/core';
 import type { UpstreamId } from '@hibiscusbank/core';
-import { createPlacementContext, organisationOf, remainingMs } from './context.js';
+import { createPermitAsk, createPlacementContext, organisationOf, remainingMs } from './context.js';
 import type { AdmittedRequest, EngineReservation, ServingContext } from './context.js';
 import { rankPrefill } from './placement.js';
 import { gotNoResponse } from './failures.js';
@@ -45,13 +45,15 @@
   use: { readonly isRetry: boolean; readonly isResumed: boolean },
 ): Promise<PrefillOutcome> {
   const { directory, transport, prefillLoads, health, retryBudget, coldLimit, telemetry } = context;
+  const excluded = new Set(failed);
   const { pool, req, body, route, signal } = admitted;
   const promptTokens = req.usage?.promptTokens ?? 0;
   if (use.isRetry && !retryBudget.take(pool.id)) return { kind: 'budget_exhausted' };
   const maxWaitShare = use.isResumed ? MAX_RESUMED_WAIT_TARGET_SHARE : MAX_WAIT_TARGET_SHARE;
   const maxWaitMs = route.targetMs * maxWaitShare;
-  for (let attempts = 0; attempts < MAX_PREFILL_ATTEMPTS && !signal.aborted; attempts += 1) {
-    const placement = createPlacementContext(context, pool, prefillLoads, failed);
+  let attempts = 0;
+  while (attempts < MAX_PREFILL_ATTEMPTS && !signal.aborted) {
+    const placement = createPlacementContext(context, pool, prefillLoads, excluded);
     const ranked = rankPrefill(
       directory.usable(pool.id),
       placement,
@@ -61,6 +63,10 @@
     if (upstream === undefined) return { kind: 'not_prefilled' };
     const waitMs = context.prefillRate.waitMs(pool.id, prefillLoads.tokens(upstream.id));
     if (waitMs > maxWaitMs) return { kind: 'not_prefilled' };
+    excluded.add(upstream.id);
+    const permit = await context.permits.acquire(upstream, createPermitAsk(admitted));
+    if (!permit.isGranted) continue;
+    attempts += 1;
     const release = prefillLoads.begin(upstream.id, promptTokens);
     const limit = startTimeLimit(signal, PREFILL_TIMEOUT_MS);
     const startedAt = monotonicMs();
--- a/packages/serving/src/reserve-engine.ts
+++ b/packages/serving/src/reserve-engine.ts
@@ -1,7 +1,7 @@
 /** Reserves memory and a slot on a decode engine, asking the least loaded engines first. */
 import { monotonicMs } from '@hibiscusbank/core';
-import type { UpstreamId } from '@hibiscusbank/core';
-import { createPlacementContext } from './context.js';
+import type { PoolId, UpstreamId } from '@hibiscusbank/core';
+import { createPermitAsk, createPlacementContext } from './context.js';
 import type { AdmittedRequest, EngineReservation, ServingContext } from './context.js';
 import { rankDecode } from './placement.js';
 import { startTimeLimit } from './time-limit.js';
@@ -25,6 +25,10 @@
  */
 const PAST_TARGET_FREE_SHARE = 0.2;
 
+const MS_PER_S = 1_000;
+/** Rate that is assumed at least, so that engines with a limit of 0 give a finite wait. */
+const MIN_RATE_PER_S = 0.01;
+
 /**
  * Returns the tokens to reserve: the prompt and the part of the output that occupies memory on
  * average.
@@ -39,6 +43,18 @@
   );
 }
 
+/** Returns the wait that the limits of the decode engines impose behind the waiting requests. */
+export function estimateLimitedWaitMs(
+  { directory, permits }: ServingContext,
+  pool: PoolId,
+  waiting: number,
+): number {
+  const engines = directory.usable(pool).filter(({ role }) => role === 'decode');
+  const perSecond = engines.length === 0 ? undefined : permits.expectedRate(engines);
+  // With no requests ahead the wait is 0, since other nodes may leave permits unused.
+  return perSecond === undefined ? 0 : (waiting / Math.max(MIN_RATE_PER_S, perSecond)) * MS_PER_S;
+}
+
 /**
  * Reserves capacity on an engine. Resolves to `undefined` when no engine that was asked has free
  * capacity.
@@ -72,6 +88,12 @@
     const expired = limit.isExpired();
     limit.stop();
     if (result.isOk()) {
+      const permit = await context.permits.acquire(upstream, createPermitAsk(admitted));
+      if (!permit.isGranted) {
+        release();
+        transport.dropReservation(upstream, result.value);
+        continue;
+      }
       telemetry.log('reservationGranted', {
         request: req.id,
         upstream: upstream.id,
--- a/packages/serving/src/serve-plain.ts
+++ b/packages/serving/src/serve-plain.ts
@@ -4,14 +4,14 @@
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import { sendError, sendBuffered } from './responses.js';
-import { createPlacementContext, organisationOf, remainingMs } from './context.js';
+import { choosePlain } from './choose-plain.js';
+import { organisationOf, remainingMs } from './context.js';
 import type { AdmittedRequest, ServingContext } from './context.js';
 import type { KnownUpstream } from './directory.js';
 import { describeBlocked, describeFailure, describeTimeout, gotNoResponse } from './failures.js';
 import type { ServingFailure } from './failures.js';
 import { readFullBody } from './http-exchange.js';
 import type { QuarantinedPart } from './part-quarantine.js';
-import { rankPlain } from './placement.js';
 import { startTimeLimit } from './time-limit.js';
 import type { SendFailure, UpstreamReply } from './types.js';
 import type { RunEnd } from './upstream-ends.js';
@@ -89,20 +89,22 @@
   context: ServingContext,
   admitted: AdmittedRequest,
 ): Promise<ServingFailure | undefined> {
-  const { directory, retryBudget, loads, telemetry } = context;
+  const { retryBudget, telemetry } = context;
   const { pool, route, outgoing, req, signal } = admitted;
   const excluded = new Set<UpstreamId>();
   const mayRetry = route.kind === 'idempotent';
   let runs = 0;
+  let retryAfterMs = PLAIN_RETRY_AFTER_MS;
   let effect: 'not_run' | 'unknown' = 'not_run';
   let lastResponse: PlainResponse | undefined;
   let blocked: QuarantinedPart | undefined;
   let lastFailure: SendFailure = { effect: 'not_run', wasSent: false, reason: 'unreachable' };
 
   for (let sends = 0; sends < MAX_SENDS && !signal.aborted; sends += 1) {
-    const placement = createPlacementContext(context, pool, loads, excluded);
-    const [upstream, alternative] = rankPlain(directory.usable(pool.id), placement);
-    if (upstream === undefined) break;
+    const choice = await choosePlain(context, admitted, excluded);
+    if (choice.kind === 'limited') retryAfterMs = choice.retryAfterMs;
+    if (choice.kind !== 'chosen') break;
+    const { upstream, alternative } = choice;
     blocked = context.crashProtection.findBlocked(req);
     if (blocked !== undefined) break;
     if (sends > 0 && lastFailure.wasSent && !retryBudget.take(pool.id)) break;
@@ -150,7 +152,7 @@
   }
   const failure = signal.aborted
     ? describeTimeout(effect)
-    : describeFailure({ ...lastFailure, effect }, PLAIN_RETRY_AFTER_MS);
+    : describeFailure({ ...lastFailure, effect }, retryAfterMs);
   sendError(outgoing, failure.error, failure.effect);
   return failure;
 }
--- a/packages/serving/src/serve-stream.ts
+++ b/packages/serving/src/serve-stream.ts
@@ -1,18 +1,19 @@
 /** Serves streaming requests to model engines: reservation, prefill, decode, relay. */
-import { createError, monotonicMs } from '@hibiscusbank/core';
-import type { UpstreamId } from '@hibiscusbank/core';
+import { monotonicMs } from '@hibiscusbank/core';
+import type { RouterError, UpstreamId } from '@hibiscusbank/core';
+import { err } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import { sendBuffered, sendError, startResponse } from './responses.js';
 import { organisationOf, remainingMs } from './context.js';
 import type { AdmittedRequest, EngineReservation, ServingContext } from './context.js';
-import { describeBlocked, describeFailure, describeTimeout } from './failures.js';
+import { describeBlocked, describeFailure, describeLimited, describeTimeout } from './failures.js';
 import type { ServingFailure } from './failures.js';
 import { readFullBody } from './http-exchange.js';
 import { prefillPrompt } from './prefill-prompt.js';
 import type { PrefillOutcome } from './prefill-prompt.js';
 import { relayEvents } from './relay-events.js';
 import type { StreamProgress } from './relay-events.js';
-import { reservationTokens, reserveEngine } from './reserve-engine.js';
+import { estimateLimitedWaitMs, reservationTokens, reserveEngine } from './reserve-engine.js';
 import { startTimeLimit } from './time-limit.js';
 import type { EngineSettings, KvHandle, SendFailure, UpstreamReply } from './types.js';
 import { planWait } from './wait-plan.js';
@@ -57,7 +58,7 @@
 function waitForReservation(
   context: ServingContext,
   state: StreamState,
-): Promise<Result<EngineReservation, ReturnType<typeof createError>>> {
+): Promise<Result<EngineReservation, RouterError>> {
   const { admitted, engineSettings, failedDecode } = state;
   const { req, pool, organisation, signal } = admitted;
   const usage = req.usage ?? { promptTokens: 0, maxOutputTokens: 0, expectedOutputTokens: 0 };
@@ -68,7 +69,12 @@
     remainingMs: remainingMs(admitted),
     hasEvents: state.progress.hasEvents,
   });
-  return context.queueFor(pool.id).wait({
+  const queue = context.queueFor(pool.id);
+  const limitedWaitMs = estimateLimitedWaitMs(context, pool.id, queue.size());
+  if (limitedWaitMs > plan.maxWaitMs && !state.progress.hasEvents) {
+    return Promise.resolve(err(describeLimited(limitedWaitMs)));
+  }
+  return queue.wait({
     organisation: organisation?.id ?? '',
     cost: tokens,
     onTargetMs: plan.onTargetMs,
--- a/packages/serving/src/serving-node.ts
+++ b/packages/serving/src/serving-node.ts
@@ -1,17 +1,16 @@
 /** Assembles a node that serves requests on the platform. */
 import { dataCentreId, monotonicMs, sleep } from '@hibiscusbank/core';
-import type { RouterError, Telemetry, UpstreamId } from '@hibiscusbank/core';
+import type { UpstreamId } from '@hibiscusbank/core';
 import { createHttpServer } from '@hibiscusbank/gateway';
 import type { HttpServer } from '@hibiscusbank/gateway';
 import { createLease } from '@hibiscusbank/object-api';
 import type { HttpBindings } from '@hono/node-server';
 import { RESPONSE_ALREADY_SENT } from '@hono/node-server/utils/response';
 import { Hono } from 'hono';
-import type { Result } from 'neverthrow';
 import { createChangeNotices, isChangeNotice } from './change-notices.js';
 import { createChangingRoles } from './changing-roles.js';
 import { createColdLimit } from './cold-limit.js';
-import type { HttpExchange, ServingContext } from './context.js';
+import type { ServingContext } from './context.js';
 import { createCrashProtection } from './crash-protection.js';
 import { computeReachableShare, createDataCentreContact } from './data-centre-contact.js';
 import { createDirectory } from './directory.js';
@@ -22,7 +21,6 @@
 import { createMovedUpstreams } from './moved-upstreams.js';
 import { createNodeRegistry } from './node-registry.js';
 import { createOrganisationQuota } from './organisation-quota.js';
-import type { QuotaTolerance } from './organisation-quota.js';
 import { createPeerDatagrams } from './peer-datagrams.js';
 import { createPeerLists } from './peer-lists.js';
 import {
@@ -32,60 +30,20 @@
   remoteTimeoutMs,
 } from './peer-reports.js';
 import type { KnownPeer } from './peer-reports.js';
-import type { EntryDecoders, EntryStore, UpstreamTransport } from './ports.js';
 import { createPrefillRate } from './prefill-rate.js';
 import { createPrefillWork } from './prefill-work.js';
 import { createReadinessApp } from './readiness-app.js';
+import { createRequestLimits } from './request-limits.js';
 import { createRetryBudget } from './retry-budget.js';
 import { createRoleOrders } from './role-orders.js';
 import { createServingGateway } from './serving-gateway.js';
+import type { ServingNodeOptions } from './serving-node-options.js';
 import { stopListening } from './stop-listening.js';
 import { createStoreFeeds } from './store-feeds.js';
-import type { KnowledgeBounds } from './store-feeds.js';
-import type { ServingRequest } from './types.js';
 import { createUpstreamHealth } from './upstream-health.js';
 import { createUpstreamLoads } from './upstream-loads.js';
 import { createWatcherSelection } from './watcher-selection.js';
 
-interface Address {
-  readonly host: string;
-  readonly port: number;
-}
-
-export interface ServingNodeOptions {
-  readonly name: string;
-  readonly dataCentre: string;
-  /** Address on which the node accepts requests of callers. */
-  readonly callers: Address;
-  /** Readiness endpoint, polled by the load balancer. */
-  readonly readiness: Address & { readonly path: string };
-  /** Address for reports and list requests of peers. */
-  readonly peers: Address;
-  /** Peers to report to before the registry has been read. */
-  readonly seeds: readonly KnownPeer[];
-  readonly stores: {
-    readonly tables: EntryStore;
-    readonly upstreams: EntryStore;
-    readonly outOfService: EntryStore;
-    readonly nodes: EntryStore;
-    readonly leases: EntryStore;
-  };
-  readonly decoders: EntryDecoders;
-  readonly transport: UpstreamTransport;
-  readonly readRequest: (exchange: HttpExchange) => Result<ServingRequest, RouterError>;
-  readonly retryBudget: {
-    readonly ratio: number;
-    readonly allowance: number;
-    readonly windowMs: number;
-  };
-  /** Excess over the rates of organisations that the operator tolerates. */
-  readonly quotaTolerance: QuotaTolerance;
-  readonly bounds: KnowledgeBounds;
-  /** Time between SIGTERM and the forced end of the process. */
-  readonly graceMs: number;
-  readonly telemetry: Telemetry;
-}
-
 export interface ServingNode {
   start(): Promise<void>;
   /** Reports not ready, then closes the listener, waits for active requests, and stops. */
@@ -149,8 +107,10 @@
     peers: recipients,
     telemetry,
   });
+  const reachableShare = () =>
+    computeReachableShare({ peers: registry.peers(), livePeers, contact });
   const quota = createOrganisationQuota({
-    reachableShare: () => computeReachableShare({ peers: registry.peers(), livePeers, contact }),
+    reachableShare,
     tolerance: options.quotaTolerance,
     startedAt: monotonicMs(),
     epoch: startedAt,
@@ -169,6 +129,16 @@
     peers: livePeers.names,
     telemetry,
   });
+  const limits = createRequestLimits({
+    self,
+    transport,
+    datagrams,
+    peers: recipients,
+    isSilent: livePeers.hasTimedOut,
+    fleetSize: () => registry.names().length,
+    reachableShare,
+    telemetry,
+  });
   const notices = createChangeNotices({ datagrams, recipients: localPeerReports });
 
   const feeds = createStoreFeeds({
@@ -187,6 +157,7 @@
       const ids = new Set<UpstreamId>(known.map(({ id }) => id));
       health.retain(ids);
       pace.retain(ids);
+      limits.retain(known);
     },
     onOutOfService: directory.setOutOfService,
     onStoreDelta: notices.forward,
@@ -217,6 +188,7 @@
       changing: changing.localOrders(),
       prefillMs: prefillWork.localTotals(),
       quarantined: crashProtection.report(),
+      limits: limits.report(),
     }),
     beforeRound: () => {
       watcherSelection.check();
@@ -235,6 +207,7 @@
       prefillWork.applyPeer(report.node, report.startedAt, report.prefillMs);
       quota.applyReport(report);
       crashProtection.applyReport(report.quarantined);
+      limits.applyReport(report.limits);
     },
     onTimeout: (node) => {
       quota.markAbsent(node);
@@ -244,6 +217,7 @@
   });
 
   const receive = (message: unknown): void => {
+    if (limits.receive(message)) return;
     if (isChangeNotice(message)) feeds.byKind[message.notice]?.apply(message.delta);
     else if (!crashProtection.receive(message) && !reports.receive(message)) {
       telemetry.log('peerReportRejected', { error: 'unknown message format' });
@@ -281,6 +255,7 @@
       nodes: () => registry.names().length,
     }),
     crashProtection,
+    permits: limits,
     coldLimit: createColdLimit({ self: self.node, nodes: registry.names }),
     health,
     moved: createMovedUpstreams(),
--- a/packages/serving/src/types.ts
+++ b/packages/serving/src/types.ts
@@ -162,6 +162,14 @@
   readonly signal: AbortSignal;
 }
 
+/** What an upstream states about itself in the headers of a response. */
+export interface UpstreamStatement {
+  /** Requests per second that it takes from all nodes together, if it states a limit. */
+  readonly limitPerSecond: number | undefined;
+  /** Monotonic time at which the request was sent. */
+  readonly sentAt: number;
+}
+
 /** A KV cache that a prefill engine keeps for a short time. */
 export interface KvHandle {
   readonly upstream: ServingUpstream;
--- a/packages/serving/test/data-centre-contact.test.ts
+++ b/packages/serving/test/data-centre-contact.test.ts
@@ -92,7 +92,7 @@
     tokens: 0,
     failureRate: 0,
     isEjected: false,
-    isWithinColdLimit: true,
+    isWithinRateLimits: true,
     isCold: false,
     isChanging: false,
     ...change,
--- a/packages/serving/test/decisions.test.ts
+++ b/packages/serving/test/decisions.test.ts
@@ -168,7 +168,7 @@
   tokens: 0,
   failureRate: 0,
   isEjected: false,
-  isWithinColdLimit: true,
+  isWithinRateLimits: true,
   isCold: false,
   isChanging: false,
 };
--- a/packages/serving/test/peer-reports.test.ts
+++ b/packages/serving/test/peer-reports.test.ts
@@ -23,6 +23,7 @@
   changing: {},
   prefillMs: {},
   quarantined: [],
+  limits: [],
 };
 
 function createPeers(count: number, dataCentres: number): KnownPeer[] {
--- a/packages/serving/test/placement-load.test.ts
+++ b/packages/serving/test/placement-load.test.ts
@@ -66,7 +66,7 @@
             tokens: reserved(engine),
             failureRate: 0,
             isEjected: false,
-            isWithinColdLimit: true,
+            isWithinRateLimits: true,
             isCold: false,
             isChanging: false,
           };
--- a/packages/serving/test/support/test-node.ts
+++ b/packages/serving/test/support/test-node.ts
@@ -156,6 +156,8 @@
   reply: (send: UpstreamSend) => ReturnType<UpstreamTransport['send']>;
   reserveReply: UpstreamTransport['reserve'];
   prefillReply: UpstreamTransport['prefill'];
+  /** Passes a statement of an upstream to the node. */
+  state: Parameters<UpstreamTransport['onStatement']>[0];
 }
 
 /** Creates a transport with configurable responses. */
@@ -185,6 +187,10 @@
     isListening: async () => true,
     dropReservation: (_, reservation) => transport.dropped.push(reservation),
     dropHandle: ({ handle }) => transport.dropped.push(handle),
+    onStatement: (listener) => {
+      transport.state = listener;
+    },
+    state: () => {},
     retain: () => {},
   };
   return transport;
