Follow a store that was restored from a copy by era and revision

Callers got 404 for routes that had been confirmed seconds before, and requests reached servers that had said that they leave.

Cause: a feed's position was a bare revision. After a restoration the list has a lower revision than the feed and was dropped as old; the feed went back to a watch from a revision that the store does not have, got 410, and listed again without a pause, 12,000 times. Once the counter had passed the old revision the watch went on, and the changes between were never seen. Class: a number that is unique within one history is compared across two.

Change: a position is the era and the revision, in entries, lists, deltas, notices, reports, lists of peers, conditional writes, lease versions and logs. The era of every response counts; a new one makes the watching nodes list anew. What was in force is bridged until it is written again: by version, by born and sequence, removed upstreams stay removed. Fencing tokens rise with the era; for 15 s nobody but the last holder takes a lease. Nodes that a restored registry lacks stay in the fleet while they report. A second 410 in a row is followed by a pause.

Ruled out: the watch alone (a quick counter gives no 410), keeping all old entries for a fixed time (a server that had left would come back), the wall clock.

--- a/packages/core/src/events.ts
+++ b/packages/core/src/events.ts
@@ -98,6 +98,8 @@
   storeLost: defineEvent(1605, 'warn', 'the store does not answer'),
   storeRegained: defineEvent(1606, 'info', 'the store answers again'),
 
+  storeRestored: defineEvent(1607, 'warn', 'the store was restored from a copy'),
+
   upstreamChanged: defineEvent(1801, 'info', 'upstream registered or changed'),
   upstreamGone: defineEvent(1802, 'info', 'upstream no longer registered'),
   dataCentreOut: defineEvent(1803, 'info', 'data centre taken out of service'),
--- a/packages/core/src/metrics.ts
+++ b/packages/core/src/metrics.ts
@@ -76,6 +76,11 @@
       buckets: OUTAGE_BUCKETS_S,
       registers,
     }),
+    storeEra: new Gauge({
+      name: 'hibiscusbank_store_era',
+      help: 'Era of the store after it was restored; 0 if this process has seen no restoration',
+      registers,
+    }),
     upstreamEnds: new Counter({
       name: 'hibiscusbank_upstream_ends_total',
       help: 'Upstreams that ended while they ran requests of this node, by pool',
--- a/packages/object-api/src/lease.ts
+++ b/packages/object-api/src/lease.ts
@@ -12,6 +12,19 @@
 const SAFETY_MARGIN_MS = 3_000;
 const RETRY_INTERVAL_MS = 1_000;
 
+/** What is known of a store that may lose the writes of its last seconds. */
+export interface LeaseHistory {
+  /** Whether a version belongs to the history that the store has now. */
+  isCurrent(version: number): boolean;
+  /** Returns the time since the store was found to have lost writes; `Infinity` if it never was. */
+  lostWritesAgoMs(): number;
+}
+
+const COMPLETE_HISTORY: LeaseHistory = {
+  isCurrent: () => true,
+  lostWritesAgoMs: () => Infinity,
+};
+
 export interface LeaseOptions {
   readonly objectApi: Pick<ObjectApi, 'get' | 'put'>;
   /** Key of the lease object, such as `leases/<cell>`. */
@@ -19,6 +32,8 @@
   /** Name of the holder, such as its VM id. A restarted process counts as another holder. */
   readonly holder: string;
   readonly telemetry: Telemetry;
+  /** Without it the store loses no writes. */
+  readonly history?: LeaseHistory;
   /** Called with the epoch after the lease was acquired, with `undefined` after it was lost or released. */
   readonly onChange?: (epoch: number | undefined) => void;
 }
@@ -64,6 +79,8 @@
   held: Held | undefined;
   /** Version last read from another holder, and the monotonic time at which it was first read. */
   lastSeen: { readonly version: number; readonly since: number } | undefined;
+  /** Monotonic time until which this process holds, or last held, the lease. */
+  ownUntilMonotonicMs: number;
   /** Epoch last passed to `onChange`. */
   announcedEpoch: number | undefined;
   stopController: AbortController | undefined;
@@ -75,6 +92,7 @@
 /** Creates a lease. Nothing is written before `acquire`. */
 export function createLease(options: LeaseOptions): Lease {
   const { objectApi, key, holder, telemetry } = options;
+  const history = options.history ?? COMPLETE_HISTORY;
   const metrics = createLeaseMetrics(telemetry.metrics.registry);
   const instance = randomUUID();
   /** Send times by write id. Timed-out writes are kept too, because they can still take effect. */
@@ -82,6 +100,7 @@
   const state: LeaseState = {
     held: undefined,
     lastSeen: undefined,
+    ownUntilMonotonicMs: -Infinity,
     announcedEpoch: undefined,
     stopController: undefined,
     isReleasing: false,
@@ -91,6 +110,7 @@
   const epochIfHeld = (): number | undefined => {
     const { held } = state;
     if (held === undefined || monotonicMs() >= held.validUntilMonotonicMs) return undefined;
+    if (!history.isCurrent(held.version)) return undefined;
     return Date.now() < held.validUntilWallClockMs ? held.epoch : undefined;
   };
 
@@ -114,6 +134,8 @@
     const sent = sentTimes.get(object.writeId);
     const value = object.value as LeaseValue;
     if (sent === undefined || value.released || state.isReleasing) return;
+    // A write from before the store lost writes may have been followed by another holder's.
+    if (monotonicMs() - sent.monotonicMs > history.lostWritesAgoMs()) return;
     state.held = {
       epoch: value.epoch ?? object.version,
       version: object.version,
@@ -121,6 +143,7 @@
       validUntilWallClockMs: sent.wallClockMs + LEASE_VALIDITY_MS - SAFETY_MARGIN_MS,
       renewedAtMonotonicMs: sent.monotonicMs,
     };
+    state.ownUntilMonotonicMs = state.held.validUntilMonotonicMs;
     for (const [writeId, time] of sentTimes) {
       if (time.monotonicMs < sent.monotonicMs) sentTimes.delete(writeId);
     }
@@ -145,12 +168,17 @@
     return monotonicMs() - state.lastSeen.since >= LEASE_VALIDITY_MS;
   };
 
+  /** Whether another process may hold the lease by a write that the store has lost. */
+  const mayBeHeldElsewhere = (): boolean =>
+    history.lostWritesAgoMs() < LEASE_VALIDITY_MS && monotonicMs() >= state.ownUntilMonotonicMs;
+
   const readAndAcquire = async (): Promise<void> => {
     const read = await objectApi.get(key);
     if (read.isErr()) {
       reportFailure(read.error);
       return;
     }
+    if (mayBeHeldElsewhere()) return;
     const current = read.value;
     if (current === undefined) {
       await write(null, undefined);
@@ -166,7 +194,10 @@
     if (read.isErr()) return;
     const current = read.value;
     if (current !== undefined && sentTimes.has(current.writeId)) adoptIfOwnWrite(current);
-    else if (current?.version !== held.version) state.held = undefined;
+    else if (current?.version !== held.version) {
+      state.held = undefined;
+      if (history.isCurrent(held.version)) state.ownUntilMonotonicMs = -Infinity;
+    }
   };
 
   const renew = async (held: Held): Promise<void> => {
@@ -226,6 +257,7 @@
       state.stopController = undefined;
       state.isReleasing = true;
       state.held = undefined;
+      state.ownUntilMonotonicMs = -Infinity;
       announceChange();
       state.loop = state.loop.then(writeRelease);
       await state.loop;
--- a/packages/serving/src/change-notices.ts
+++ b/packages/serving/src/change-notices.ts
@@ -5,6 +5,7 @@
 import type { EntryDelta } from './entry-feed.js';
 import type { PeerDatagrams } from './peer-datagrams.js';
 import type { KnownPeer } from './peer-reports.js';
+import { isPosition } from './store-era.js';
 
 export interface ChangeNotice {
   /** Kind of the changed entries. */
@@ -32,8 +33,9 @@
   return (
     typeof notice === 'string' &&
     typeof delta?.after === 'number' &&
-    typeof delta.revision === 'number' &&
-    Array.isArray(delta.changes)
+    isPosition(delta) &&
+    Array.isArray(delta.changes) &&
+    delta.changes.every(isPosition)
   );
 }
 
--- a/packages/serving/src/directory.ts
+++ b/packages/serving/src/directory.ts
@@ -2,6 +2,8 @@
 import { dataCentreId, monotonicMs, upstreamId } from '@hibiscusbank/core';
 import type { DataCentreId, PoolId, Telemetry, UpstreamId } from '@hibiscusbank/core';
 import type { EntryDecoders, StoredEntry } from './ports.js';
+import { comparePositions } from './store-era.js';
+import type { StorePosition } from './store-era.js';
 import type {
   ServingOrganisation,
   ServingPool,
@@ -78,7 +80,7 @@
 export function createDirectory(decoders: EntryDecoders, telemetry: Telemetry): Directory {
   let index: TableIndex | undefined;
   let known = new Map<UpstreamId, KnownUpstream>();
-  const revisions = new Map<UpstreamId, number>();
+  const positions = new Map<UpstreamId, StorePosition>();
   let byPool = new Map<PoolId, KnownUpstream[]>();
   let outOfService: ReadonlySet<DataCentreId> = new Set();
   let hasUpstreams = false;
@@ -134,7 +136,7 @@
       if (entry === undefined) return;
       const tables = decoders.tables(entry.value);
       if (tables === undefined) {
-        telemetry.log('configurationRejected', { revision: entry.revision });
+        telemetry.log('configurationRejected', { era: entry.era, revision: entry.revision });
         return;
       }
       // Versions only increase, so an older one comes from a peer that lags behind.
@@ -143,6 +145,7 @@
       telemetry.metrics.configurationRevision.set(tables.version);
       telemetry.log('configurationApplied', {
         version: tables.version,
+        era: entry.era,
         revision: entry.revision,
         routes: tables.routes.length,
       });
@@ -153,12 +156,14 @@
       const now = monotonicMs();
       for (const [name, entry] of entries) {
         const before = known.get(upstreamId(name));
-        const isSame = before !== undefined && revisions.get(before.id) === entry.revision;
+        const position = before && positions.get(before.id);
+        const isSame =
+          before !== undefined && position !== undefined && comparePositions(position, entry) === 0;
         const decoded = isSame ? before : decoders.upstream(name, entry.value);
         if (decoded === undefined) continue;
         const upstream = isSame ? before : { ...decoded, coldUntil: now + decoded.coldMs };
         if (!isSame) logChange(upstream, before);
-        revisions.set(upstream.id, entry.revision);
+        positions.set(upstream.id, { era: entry.era, revision: entry.revision });
         next.set(upstream.id, upstream);
         const list = nextByPool.get(upstream.pool) ?? [];
         list.push(upstream);
@@ -166,7 +171,7 @@
       }
       for (const id of known.keys()) {
         if (next.has(id)) continue;
-        revisions.delete(id);
+        positions.delete(id);
         telemetry.log('upstreamGone', { upstream: id });
       }
       known = next;
--- a/packages/serving/src/entry-feed.ts
+++ b/packages/serving/src/entry-feed.ts
@@ -5,6 +5,9 @@
 import { monotonicMs, sleep } from '@hibiscusbank/core';
 import type { Telemetry } from '@hibiscusbank/core';
 import type { EntryChange, EntryList, EntryStore, StoredEntry, StoreFailure } from './ports.js';
+import type { RestoredEntries } from './restored-entries.js';
+import { comparePositions, laterPosition, ORIGIN } from './store-era.js';
+import type { StoreEra, StorePosition } from './store-era.js';
 
 /** The pause doubles after each failed call, so that an outage does not cause a storm of calls. */
 const FIRST_RETRY_MS = 150;
@@ -12,20 +15,22 @@
 const MS_PER_S = 1_000;
 
 /**
- * All relevant changes after one revision and up to another. `FeedOptions.digest` decides which
- * changes are relevant.
+ * All relevant changes after one revision and up to another of the same era. `FeedOptions.digest`
+ * decides which changes are relevant.
  */
-export interface EntryDelta {
+export interface EntryDelta extends StorePosition {
   /** Revision of the last relevant change before these. */
   readonly after: number;
-  /** Revision up to which `changes` is complete. */
-  readonly revision: number;
   readonly changes: readonly EntryChange[];
 }
 
 export interface FeedOptions {
   readonly kind: string;
   readonly store: EntryStore;
+  /** The era of the store, shared by all feeds of the node. */
+  readonly era: StoreEra;
+  /** Entries that stay in force for a while after the store was restored. */
+  readonly restored: RestoredEntries;
   readonly telemetry: Telemetry;
   /** Maximum time for which one watch waits for changes. */
   readonly waitMs: number;
@@ -48,15 +53,16 @@
 }
 
 export interface EntryFeed {
+  /** Returns the entries in force. */
   entries(): ReadonlyMap<string, StoredEntry>;
-  /** Returns the revision up to which changes are applied; 0 before the first list. */
-  revision(): number;
+  /** Returns the position up to which changes are applied; `ORIGIN` before the first list. */
+  position(): StorePosition;
   /**
-   * Returns the revision of the last relevant change that was applied. A peer with a lower one is
+   * Returns the position of the last relevant change that was applied. A peer with an earlier one is
    * behind.
    */
-  changeRevision(): number;
-  /** Returns the entries as a list, for peers that cannot reach the store. */
+  changePosition(): StorePosition;
+  /** Returns the entries of the store as a list, for peers that cannot reach it. */
   list(): EntryList;
   /** Returns the time since the last response of the store. */
   sinceLastContactMs(): number;
@@ -66,28 +72,31 @@
   adopt(list: EntryList): boolean;
   /** Applies changes that a peer forwarded. Returns false when earlier changes are missing here. */
   apply(delta: EntryDelta): boolean;
-  /** Records that a peer knows of no relevant change after `changeRevision` up to `revision`. */
-  confirm(changeRevision: number, revision: number): void;
+  /** Records that a peer knows of no relevant change after `change` up to `upTo` of the same era. */
+  confirm(change: StorePosition, upTo: number): void;
   /** Follows the store until the signal aborts. */
   run(signal: AbortSignal): Promise<void>;
 }
 
-function toRemoval({ name, revision }: StoredEntry): EntryChange {
-  return { name, revision, value: null, isRemoved: true };
+function toRemoval({ name, era, revision }: StoredEntry): EntryChange {
+  return { name, era, revision, value: null, isRemoved: true };
 }
 
 /** Creates the feed. No calls are made before `run`. */
 export function createEntryFeed(options: FeedOptions): EntryFeed {
-  const { kind, store, telemetry, onChange } = options;
-  const readDigest = options.digest ?? (({ revision }) => String(revision));
+  const { kind, store, era, restored, telemetry } = options;
+  const readDigest = options.digest ?? ((entry) => `${entry.era} ${entry.revision}`);
   const digests = new Map<string, string>();
   const entries = new Map<string, StoredEntry>();
-  let revision = 0;
-  let changeRevision = 0;
+  let inForce: ReadonlyMap<string, StoredEntry> = entries;
+  let position = ORIGIN;
+  let changePosition = ORIGIN;
   let lastContactAt = -Infinity;
   let connected = true;
   let failures = 0;
+  let lostHistories = 0;
   let lastFailedCallMs = 0;
+  let settleTimer: NodeJS.Timeout | undefined;
 
   const recordResponse = (): void => {
     const now = monotonicMs();
@@ -96,7 +105,7 @@
       if (Number.isFinite(silentMs)) {
         telemetry.metrics.storeSilenceSeconds.observe({ kind }, silentMs / MS_PER_S);
       }
-      telemetry.log('storeRegained', { kind, revision, silentMs, failures, lastFailedCallMs });
+      telemetry.log('storeRegained', { kind, ...position, silentMs, failures, lastFailedCallMs });
     }
     lastContactAt = now;
     failures = 0;
@@ -106,36 +115,53 @@
   const recordFailure = (failure: StoreFailure, calledAt: number): void => {
     lastFailedCallMs = Math.round(monotonicMs() - calledAt);
     if (connected)
-      telemetry.log('storeLost', { kind, failure, revision, callMs: lastFailedCallMs });
+      telemetry.log('storeLost', { kind, failure, ...position, callMs: lastFailedCallMs });
     connected = false;
     failures += 1;
   };
 
-  const retryPauseMs = (): number =>
-    Math.min(options.maxRetryMs, FIRST_RETRY_MS * 2 ** Math.max(0, failures - 1));
+  const pauseMsAfter = (count: number): number =>
+    Math.min(options.maxRetryMs, FIRST_RETRY_MS * 2 ** Math.max(0, count - 1));
+
+  /** Passes on the entries in force, again when those that are kept no longer are. */
+  const publish = (): void => {
+    inForce = restored.merge(entries);
+    options.onChange(inForce);
+    clearTimeout(settleTimer);
+    const nextMs = restored.nextChangeMs();
+    if (nextMs === undefined) return;
+    settleTimer = setTimeout(publish, nextMs);
+    settleTimer.unref();
+  };
 
   /** Applies one change. Returns whether it is relevant. */
   const applyChange = (change: EntryChange): boolean => {
     const known = entries.get(change.name);
-    if (known !== undefined && known.revision > change.revision) return false;
+    if (known !== undefined && comparePositions(known, change) > 0) return false;
     if (change.isRemoved) {
+      const wasKept = restored.settle(change);
       digests.delete(change.name);
-      return entries.delete(change.name);
+      if (known !== undefined) restored.recordRemoval(known);
+      return entries.delete(change.name) || wasKept;
     }
     const digest = readDigest(change);
-    entries.set(change.name, change);
-    if (digests.get(change.name) === digest) return false;
-    digests.set(change.name, digest);
+    const { name, value } = change;
+    entries.set(name, { name, era: change.era, revision: change.revision, value });
+    if (digests.get(name) === digest) return false;
+    digests.set(name, digest);
     return true;
   };
 
-  /** Applies changes up to a revision. Returns the relevant ones. */
-  const applyChanges = (changes: readonly EntryChange[], upTo: number): readonly EntryChange[] => {
+  /** Applies changes up to a position. Returns the relevant ones. */
+  const applyChanges = (
+    changes: readonly EntryChange[],
+    upTo: StorePosition,
+  ): readonly EntryChange[] => {
     const relevant = changes.filter(applyChange);
-    revision = Math.max(revision, upTo);
+    position = laterPosition(position, upTo);
     if (relevant.length > 0) {
-      changeRevision = Math.max(changeRevision, upTo);
-      onChange(entries);
+      changePosition = laterPosition(changePosition, upTo);
+      publish();
     }
     return relevant;
   };
@@ -145,10 +171,24 @@
    * since.
    */
   const isApplicable = (change: EntryChange): boolean =>
-    change.isRemoved || entries.has(change.name) || change.revision > revision;
+    change.era === position.era &&
+    (change.isRemoved || entries.has(change.name) || change.revision > position.revision);
 
-  const notify = (after: number, changes: readonly EntryChange[]): void => {
-    if (changes.length > 0) options.onStoreDelta?.({ after, revision, changes });
+  const notify = (after: StorePosition, changes: readonly EntryChange[]): void => {
+    // Peers cannot apply changes to an earlier era; they read the list of the new one.
+    if (changes.length === 0 || after.era !== position.era) return;
+    options.onStoreDelta?.({ after: after.revision, ...position, changes });
+  };
+
+  /** Starts over with a list of a later era; what was in force is bridged. */
+  const beginEra = (list: EntryList): void => {
+    restored.begin(inForce);
+    entries.clear();
+    digests.clear();
+    for (const entry of list.entries) applyChange({ ...entry, isRemoved: false });
+    position = { era: list.era, revision: list.revision };
+    changePosition = position;
+    publish();
   };
 
   /**
@@ -156,15 +196,19 @@
    * `undefined` for a list that is not newer.
    */
   const replace = (list: EntryList): readonly EntryChange[] | undefined => {
-    if (list.revision <= revision) return undefined;
-    const isFirst = revision === 0;
+    if (!era.observe(list.era) || comparePositions(list, position) <= 0) return undefined;
+    const isFirst = position.revision === 0;
+    if (!isFirst && list.era !== position.era) {
+      beginEra(list);
+      return [];
+    }
     const listed = new Map(list.entries.map((entry) => [entry.name, entry]));
     const removed = [...entries.values()].filter(({ name }) => !listed.has(name)).map(toRemoval);
     const present = list.entries.map((entry): EntryChange => ({ ...entry, isRemoved: false }));
-    const relevant = applyChanges([...removed, ...present], list.revision);
+    const relevant = applyChanges([...removed, ...present], list);
     if (relevant.length === 0 && isFirst) {
-      changeRevision = revision;
-      onChange(entries);
+      changePosition = position;
+      publish();
     }
     return isFirst ? [] : relevant;
   };
@@ -177,67 +221,87 @@
       return false;
     }
     recordResponse();
-    const after = changeRevision;
+    const after = changePosition;
     notify(after, replace(result.value) ?? []);
     return true;
   };
 
+  /** Watches until there are changes, the wait ends, or the store turns out to be restored. */
+  const openWatch = async (signal: AbortSignal) => {
+    const controller = new AbortController();
+    const abort = (): void => controller.abort();
+    const forget = era.onChange(abort);
+    signal.addEventListener('abort', abort, { once: true });
+    const result = await store.watch(
+      position,
+      failures > 0 ? 0 : options.waitMs,
+      controller.signal,
+    );
+    forget();
+    signal.removeEventListener('abort', abort);
+    return result;
+  };
+
   /**
    * Watches once for changes, and pauses before the next watch. After a failed call the watch does
    * not wait for changes, so that its response shows at once that the store answers again. Returns
-   * false when the store no longer has the history after the local revision.
+   * false when the list has to be read, because the store no longer has the history after the local
+   * position.
    */
   const watch = async (signal: AbortSignal): Promise<boolean> => {
     const calledAt = monotonicMs();
-    const result = await store.watch(revision, failures > 0 ? 0 : options.waitMs);
+    const result = await openWatch(signal);
+    if (position.era < era.current()) return false;
     if (result.isErr()) {
-      if (result.error === 'history_lost') return false;
+      if (result.error === 'history_lost') {
+        lostHistories += 1;
+        if (lostHistories > 1) await sleep(pauseMsAfter(lostHistories - 1), signal);
+        return false;
+      }
       recordFailure(result.error, calledAt);
-      await sleep(retryPauseMs(), signal);
+      await sleep(pauseMsAfter(failures), signal);
       return true;
     }
     recordResponse();
-    const { changes, revision: upTo } = result.value;
-    const after = changeRevision;
-    notify(after, applyChanges(changes.filter(isApplicable), upTo));
+    lostHistories = 0;
+    const after = changePosition;
+    notify(after, applyChanges(result.value.changes.filter(isApplicable), result.value));
     await sleep(options.pauseMs, signal);
     return true;
   };
 
   return {
-    entries: () => entries,
-    revision: () => revision,
-    changeRevision: () => changeRevision,
-    list: () => ({ entries: [...entries.values()], revision }),
+    entries: () => inForce,
+    position: () => position,
+    changePosition: () => changePosition,
+    list: () => ({ entries: [...entries.values()], ...position }),
     sinceLastContactMs: () => monotonicMs() - lastContactAt,
     isConnected: () => connected,
     adopt: (list) => replace(list) !== undefined,
     apply: (delta) => {
-      if (delta.after > revision) return false;
-      if (delta.revision > revision)
-        applyChanges(delta.changes.filter(isApplicable), delta.revision);
+      if (delta.era !== position.era || delta.after > position.revision) return false;
+      if (delta.revision > position.revision)
+        applyChanges(delta.changes.filter(isApplicable), delta);
       return true;
     },
-    confirm: (peerChange, peerRevision) => {
-      if (revision >= peerChange && revision > 0) revision = Math.max(revision, peerRevision);
+    confirm: (change, upTo) => {
+      if (change.era !== position.era || position.revision === 0) return;
+      if (position.revision >= change.revision)
+        position = laterPosition(position, { era: change.era, revision: upTo });
     },
     run: async (signal) => {
       let mustList = true;
       while (!signal.aborted) {
-        if (mustList && revision === 0) {
-          mustList = !(await readList());
-          if (mustList) await sleep(retryPauseMs(), signal);
-          continue;
-        }
-        await options.whenSelected?.(signal);
-        if (signal.aborted) return;
-        if (mustList) {
+        if (position.revision !== 0) await options.whenSelected?.(signal);
+        if (signal.aborted) break;
+        if (mustList || position.era < era.current()) {
           mustList = !(await readList());
-          if (mustList) await sleep(retryPauseMs(), signal);
+          if (mustList) await sleep(pauseMsAfter(failures), signal);
         } else {
           mustList = !(await watch(signal));
         }
       }
+      clearTimeout(settleTimer);
     },
   };
 }
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -7,5 +7,7 @@
 export type { ServingNodeOptions } from './serving-node-options.js';
 export * from './types.js';
 export * from './line-log.js';
+export { createStoreEra } from './store-era.js';
+export type { StoreEra, StorePosition } from './store-era.js';
 export { STORE_CALL_TIMEOUT_MS } from './store-timing.js';
 export type { KnowledgeBounds } from './store-feeds.js';
--- a/packages/serving/src/lease-objects.ts
+++ b/packages/serving/src/lease-objects.ts
@@ -1,10 +1,11 @@
 /** Stores leases as entries in the platform's store. */
 import { createError } from '@hibiscusbank/core';
 import type { ErrorKind, RouterError } from '@hibiscusbank/core';
-import type { ObjectApi, StoredObject } from '@hibiscusbank/object-api';
+import type { LeaseHistory, ObjectApi, StoredObject } from '@hibiscusbank/object-api';
 import { err, ok, ResultAsync } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import type { EntryStore, StoredEntry, StoreFailure } from './ports.js';
+import type { StoreEra, StorePosition } from './store-era.js';
 
 const ERROR_KIND_BY_FAILURE: Readonly<Record<StoreFailure, ErrorKind>> = {
   unavailable: 'platform_unavailable',
@@ -20,13 +21,34 @@
   );
 }
 
+/**
+ * Versions and fencing tokens increase with the era, so that a later holder has a higher one also
+ * after a restored store has given out revisions again. Both numbers fit below 2 to the power of 53.
+ */
+const VERSIONS_PER_ERA = 2 ** 32;
+
+const toVersion = ({ era, revision }: StorePosition): number => era * VERSIONS_PER_ERA + revision;
+
+const toPosition = (version: number): StorePosition => ({
+  era: Math.floor(version / VERSIONS_PER_ERA),
+  revision: version % VERSIONS_PER_ERA,
+});
+
+/** What the era of the store says about leases. */
+export function createLeaseHistory(era: StoreEra): LeaseHistory {
+  return {
+    isCurrent: (version) => toPosition(version).era === era.current(),
+    lostWritesAgoMs: era.sinceChangeMs,
+  };
+}
+
 /**
  * Converts an entry to an object. The value of the entry includes the write id, by which a writer
  * recognises its own write whose response was lost.
  */
-function toObject({ name, revision, value }: StoredEntry): StoredObject {
-  const { writeId, held } = value as { readonly writeId?: string; readonly held?: unknown };
-  return { key: name, value: held, version: revision, writeId: writeId ?? '' };
+function toObject(entry: StoredEntry): StoredObject {
+  const { writeId, held } = entry.value as { readonly writeId?: string; readonly held?: unknown };
+  return { key: entry.name, value: held, version: toVersion(entry), writeId: writeId ?? '' };
 }
 
 /** Creates the object API calls that a lease needs. */
@@ -41,7 +63,11 @@
     put: (key, held, { writeId, ifVersion }) =>
       new ResultAsync(
         store
-          .write(key, { writeId, held }, ifVersion)
+          .write(
+            key,
+            { writeId, held },
+            ifVersion === undefined ? undefined : toPosition(ifVersion),
+          )
           .then((written) => written.map(toObject).mapErr(toError)),
       ),
   };
--- a/packages/serving/src/node-registry.ts
+++ b/packages/serving/src/node-registry.ts
@@ -48,8 +48,8 @@
     if (current.isErr() && current.error !== 'absent') return false;
     const known = current.isOk() ? decodePeer(current.value) : undefined;
     if (known?.host === self.host && known.port === self.port) return true;
-    const revision = current.isOk() ? current.value.revision : undefined;
-    return (await store.write(self.node, value, revision)).isOk();
+    const expected = current.isOk() ? current.value : undefined;
+    return (await store.write(self.node, value, expected)).isOk();
   };
 
   const removeAfterMs = (fleet: number): number =>
@@ -64,7 +64,7 @@
       const since = unreachableSince.get(entry.name) ?? monotonicMs();
       unreachableSince.set(entry.name, since);
       if (monotonicMs() - since < removeAfterMs(entries.length)) continue;
-      const removed = await store.remove(entry.name, entry.revision);
+      const removed = await store.remove(entry.name, entry);
       telemetry.log('nodeForgotten', { peer: entry.name, removed: removed.isOk() });
     }
   };
@@ -73,9 +73,11 @@
     const listed = await store.list({ allowStale: true });
     if (listed.isErr()) return false;
     const { entries } = listed.value;
-    peers = entries
-      .map(decodePeer)
-      .filter((peer): peer is KnownPeer => peer !== undefined && peer.node !== self.node);
+    const registered = entries.map(decodePeer).filter((peer) => peer !== undefined);
+    const names = new Set(registered.map(({ node }) => node));
+    // A restored store lacks nodes that registered last; they are in the fleet while they report.
+    const unlisted = peers.filter(({ node }) => !names.has(node) && isReachable(node));
+    peers = [...registered, ...unlisted].filter(({ node }) => node !== self.node);
     await removeUnreachable(entries);
     return entries.some(({ name }) => name === self.node);
   };
--- a/packages/serving/src/peer-lists.ts
+++ b/packages/serving/src/peer-lists.ts
@@ -11,6 +11,8 @@
 import { openExchange, readFullBody } from './http-exchange.js';
 import type { PeerReport } from './peer-reports.js';
 import type { EntryList } from './ports.js';
+import { comparePositions, isPosition, laterPosition, ORIGIN } from './store-era.js';
+import type { StorePosition } from './store-era.js';
 import { startTimeLimit } from './time-limit.js';
 
 /**
@@ -41,15 +43,25 @@
 }
 
 function isEntryList(value: unknown): value is EntryList {
-  const list = value as Partial<EntryList> | null;
-  return typeof list?.revision === 'number' && Array.isArray(list.entries);
+  const { entries } = (value ?? {}) as Partial<EntryList>;
+  return isPosition(value) && Array.isArray(entries) && entries.every(isPosition);
+}
+
+/** Returns the position of the last change of a kind that a peer reported. */
+function readChange({ revisions }: PeerReport, kind: string): StorePosition {
+  const position = { era: revisions[kind]?.era, revision: revisions[kind]?.change };
+  return isPosition(position) ? position : ORIGIN;
+}
+
+function findNewest(reports: readonly PeerReport[], kind: string): StorePosition {
+  return reports.map((report) => readChange(report, kind)).reduce(laterPosition, ORIGIN);
 }
 
 /** Creates the exchange of lists of one node. */
 export function createPeerLists(options: PeerListsOptions): PeerLists {
   const { feeds, reports, random, telemetry } = options;
   const agent = new Agent({ keepAliveTimeout: 1_000 });
-  const lagging = new Map<string, { readonly revision: number; readonly since: number }>();
+  const lagging = new Map<string, { readonly change: StorePosition; readonly since: number }>();
   const reading = new Set<string>();
   let timer: NodeJS.Timeout | undefined;
   let check = (): void => {};
@@ -89,8 +101,10 @@
 
   const fetchNewest = async (kind: string, feed: EntryFeed): Promise<void> => {
     const known = reports();
-    const newest = Math.max(0, ...known.map(({ revisions }) => revisions[kind]?.change ?? 0));
-    const candidates = known.filter(({ revisions }) => revisions[kind]?.change === newest);
+    const newest = findNewest(known, kind);
+    const candidates = known.filter(
+      (report) => comparePositions(readChange(report, kind), newest) === 0,
+    );
     const peer = candidates[Math.floor(random() * candidates.length)];
     if (peer === undefined || reading.has(kind)) return;
     reading.add(kind);
@@ -100,6 +114,7 @@
       telemetry.log('peerListRead', {
         kind,
         peer: peer.node,
+        era: list?.era,
         revision: list?.revision,
         adopted,
         storeSilentMs: Math.round(feed.sinceLastContactMs()),
@@ -115,11 +130,13 @@
   check = (): void => {
     const now = monotonicMs();
     for (const [kind, feed] of Object.entries(feeds)) {
-      const newest = Math.max(0, ...reports().map(({ revisions }) => revisions[kind]?.change ?? 0));
+      const newest = findNewest(reports(), kind);
+      const position = feed.position();
       const known = lagging.get(kind);
-      if (known !== undefined && feed.revision() >= known.revision) lagging.delete(kind);
-      if (newest > feed.revision() && !lagging.has(kind)) {
-        lagging.set(kind, { revision: newest, since: now });
+      if (known !== undefined && comparePositions(position, known.change) >= 0)
+        lagging.delete(kind);
+      if (comparePositions(newest, position) > 0 && !lagging.has(kind)) {
+        lagging.set(kind, { change: newest, since: now });
       }
       const lag = lagging.get(kind);
       if (lag === undefined) continue;
--- a/packages/serving/src/peer-reports.ts
+++ b/packages/serving/src/peer-reports.ts
@@ -38,6 +38,8 @@
 
 /** Revisions of one kind of entries that a node knows. */
 export interface KnownRevisions {
+  /** Era of the store in which the revisions were given out. */
+  readonly era: number;
   /** Revision of the last relevant change that the node has applied. */
   readonly change: number;
   /** Revision up to which the node knows that there was no further relevant change. */
--- a/packages/serving/src/ports.ts
+++ b/packages/serving/src/ports.ts
@@ -3,6 +3,8 @@
  * entries. An adapter for the platform implements them.
  */
 import type { Result } from 'neverthrow';
+import type { WritingOrder } from './restored-entries.js';
+import type { StorePosition } from './store-era.js';
 import type {
   EngineRole,
   KvHandle,
@@ -57,49 +59,51 @@
   retain(upstreams: readonly ServingUpstream[]): void;
 }
 
-/** An entry in the platform's store. */
-export interface StoredEntry {
+/** An entry in the platform's store, at the position of its last change. */
+export interface StoredEntry extends StorePosition {
   readonly name: string;
-  /** Revision of its last change. */
-  readonly revision: number;
   readonly value: unknown;
 }
 
-export interface EntryList {
+/** All entries of a kind, at the position of the store when they were read. */
+export interface EntryList extends StorePosition {
   readonly entries: readonly StoredEntry[];
-  /** Revision of the store when the list was read. */
-  readonly revision: number;
 }
 
 export interface EntryChange extends StoredEntry {
   readonly isRemoved: boolean;
 }
 
-export interface EntryChanges {
+/** Changes up to a position, after which the next watch continues. */
+export interface EntryChanges extends StorePosition {
   readonly changes: readonly EntryChange[];
-  /** Revision after which the next watch continues. */
-  readonly revision: number;
 }
 
 /**
- * `history_lost`: the store no longer has the changes after the given revision; `conflict`: the
- * entry has another revision than expected; `absent`: there is no such entry.
+ * `history_lost`: the store does not have the changes after the given position, of an earlier era in
+ * particular; `conflict`: the last change of the entry is another one than expected; `absent`: there
+ * is no such entry.
  */
 export type StoreFailure = 'unavailable' | 'history_lost' | 'conflict' | 'absent';
 
 /** Access to the entries of one kind in the platform's store. */
 export interface EntryStore {
   list(options?: { readonly allowStale?: boolean }): Promise<Result<EntryList, StoreFailure>>;
-  /** Waits up to `waitMs` for changes after a revision. */
-  watch(revision: number, waitMs: number): Promise<Result<EntryChanges, StoreFailure>>;
-  /** Creates an entry, or replaces it when `revision` is the revision of its last change. */
+  /** Waits up to `waitMs` for changes after a position, less if the signal aborts. */
+  watch(
+    after: StorePosition,
+    waitMs: number,
+    signal?: AbortSignal,
+  ): Promise<Result<EntryChanges, StoreFailure>>;
+  /** Creates an entry, or replaces it when `expected` is the position of its last change. */
   write(
     name: string,
     value: unknown,
-    revision: number | undefined,
+    expected: StorePosition | undefined,
   ): Promise<Result<StoredEntry, StoreFailure>>;
   read(name: string): Promise<Result<StoredEntry, StoreFailure>>;
-  remove(name: string, revision: number): Promise<Result<void, StoreFailure>>;
+  /** Removes an entry when `expected` is the position of its last change. */
+  remove(name: string, expected: StorePosition): Promise<Result<void, StoreFailure>>;
 }
 
 /** Decoders for entries that the platform and its operators write. */
@@ -109,4 +113,7 @@
   /** Returns `undefined` for an invalid entry. */
   readonly tables: (value: unknown) => ServingTables | undefined;
   readonly upstream: (name: string, value: unknown) => ServingUpstream | undefined;
+  /** Order of the writings of the configuration and of an upstream's entry. */
+  readonly tablesOrder: WritingOrder;
+  readonly upstreamOrder: WritingOrder;
 }
--- a/packages/serving/src/serving-node-options.ts
+++ b/packages/serving/src/serving-node-options.ts
@@ -5,6 +5,7 @@
 import type { QuotaTolerance } from './organisation-quota.js';
 import type { KnownPeer } from './peer-reports.js';
 import type { EntryDecoders, EntryStore, UpstreamTransport } from './ports.js';
+import type { StoreEra } from './store-era.js';
 import type { KnowledgeBounds } from './store-feeds.js';
 import type { ServingRequest } from './types.js';
 
@@ -24,6 +25,8 @@
   readonly peers: Address;
   /** Peers to report to before the registry has been read. */
   readonly seeds: readonly KnownPeer[];
+  /** The era of the store, which all of `stores` record. */
+  readonly era: StoreEra;
   readonly stores: {
     readonly tables: EntryStore;
     readonly upstreams: EntryStore;
--- a/packages/serving/src/serving-node.ts
+++ b/packages/serving/src/serving-node.ts
@@ -17,7 +17,7 @@
 import { createEnginePace } from './engine-pace.js';
 import { createEngineQueues } from './engine-queues.js';
 import { createLivePeers, mergePeers } from './live-peers.js';
-import { createLeaseObjects } from './lease-objects.js';
+import { createLeaseHistory, createLeaseObjects } from './lease-objects.js';
 import { createMovedUpstreams } from './moved-upstreams.js';
 import { createNodeRegistry } from './node-registry.js';
 import { createOrganisationQuota } from './organisation-quota.js';
@@ -143,6 +143,7 @@
 
   const feeds = createStoreFeeds({
     stores,
+    era: options.era,
     decoders: options.decoders,
     bounds: options.bounds,
     watcherSelection,
@@ -232,6 +233,7 @@
     lease: (key) =>
       createLease({
         objectApi: createLeaseObjects(stores.leases),
+        history: createLeaseHistory(options.era),
         key,
         holder: self.node,
         telemetry,
--- a/packages/serving/src/store-feeds.ts
+++ b/packages/serving/src/store-feeds.ts
@@ -4,11 +4,22 @@
 import type { EntryDelta, FeedOptions, EntryFeed } from './entry-feed.js';
 import type { KnownRevisions } from './peer-reports.js';
 import type { EntryDecoders, EntryStore, StoredEntry } from './ports.js';
+import { createRestoredEntries } from './restored-entries.js';
+import { isPosition } from './store-era.js';
+import type { StoreEra } from './store-era.js';
 import { computeMaxWaitMs } from './store-timing.js';
 import type { WatcherSelection } from './watcher-selection.js';
 
 /** Maximum wait of one watch, if the bounds permit it. */
 const WATCH_MS = 5_000;
+/**
+ * Times for which entries that a restored store lacks are kept, until they are written again. Upstreams
+ * that are alive and reach the store are back within about two seconds.
+ */
+const MISSING_UPSTREAM_MS = 2_500;
+const MISSING_OUT_OF_SERVICE_MS = 5_000;
+/** The directory keeps the last configuration for good, so there is no need to keep it here. */
+const MISSING_TABLES_MS = 0;
 /** Pause between two watches of entries that rarely change. */
 const DEFAULT_PAUSE_MS = 30;
 /** Maximum pause after a failed call, if the bounds permit it. */
@@ -39,6 +50,7 @@
     readonly upstreams: EntryStore;
     readonly outOfService: EntryStore;
   };
+  readonly era: StoreEra;
   readonly decoders: EntryDecoders;
   readonly bounds: KnowledgeBounds;
   readonly watcherSelection: Pick<WatcherSelection, 'whenSelected'>;
@@ -79,12 +91,13 @@
     kind: string,
     store: EntryStore,
     withinMs: number,
-    feedOptions: Pick<FeedOptions, 'pauseMs' | 'onChange' | 'digest'>,
+    feedOptions: Pick<FeedOptions, 'pauseMs' | 'onChange' | 'digest' | 'restored'>,
   ): EntryFeed => {
     const maxWaitMs = computeMaxWaitMs(Math.max(bounds.recoveryMs, withinMs));
     return createEntryFeed({
       kind,
       store,
+      era: options.era,
       telemetry,
       whenSelected: watcherSelection.whenSelected,
       onStoreDelta: (delta) => onStoreDelta(kind, delta),
@@ -97,17 +110,32 @@
   const upstreams = create('upstreams', stores.upstreams, bounds.stopSendingWithinMs, {
     pauseMs: bounds.stopSendingWithinMs * UPSTREAM_PAUSE_SHARE,
     onChange: options.onUpstreams,
+    restored: createRestoredEntries({
+      order: options.decoders.upstreamOrder,
+      missingMs: MISSING_UPSTREAM_MS,
+      remembersRemovals: true,
+    }),
     ...(digest === undefined ? {} : { digest }),
   });
   const byKind: Readonly<Record<string, EntryFeed>> = {
     tables: create('tables', stores.tables, bounds.applyTablesWithinMs, {
       pauseMs: DEFAULT_PAUSE_MS,
       onChange: options.onTables,
+      restored: createRestoredEntries({
+        order: options.decoders.tablesOrder,
+        missingMs: MISSING_TABLES_MS,
+        remembersRemovals: false,
+      }),
     }),
     upstreams,
     outOfService: create('outOfService', stores.outOfService, bounds.leaveDataCentreWithinMs, {
       pauseMs: DEFAULT_PAUSE_MS,
       onChange: options.onOutOfService,
+      restored: createRestoredEntries({
+        order: () => undefined,
+        missingMs: MISSING_OUT_OF_SERVICE_MS,
+        remembersRemovals: false,
+      }),
     }),
   };
   return {
@@ -115,14 +143,16 @@
     isConnected: upstreams.isConnected,
     revisions: () =>
       Object.fromEntries(
-        Object.entries(byKind).map(([kind, feed]) => [
-          kind,
-          { change: feed.changeRevision(), upTo: feed.revision() },
-        ]),
+        Object.entries(byKind).map(([kind, feed]) => {
+          const { era, revision: upTo } = feed.position();
+          const change = feed.changePosition();
+          return [kind, { era, change: change.revision, upTo }];
+        }),
       ),
     confirm: (revisions) => {
-      for (const [kind, { change, upTo }] of Object.entries(revisions)) {
-        byKind[kind]?.confirm(change, upTo);
+      for (const [kind, { era, change, upTo }] of Object.entries(revisions)) {
+        const position = { era, revision: change };
+        if (isPosition(position)) byKind[kind]?.confirm(position, upTo);
       }
     },
     run: (signal) => {
--- a/packages/serving/test/entry-feed.test.ts
+++ b/packages/serving/test/entry-feed.test.ts
@@ -2,7 +2,7 @@
 import { err } from 'neverthrow';
 import { afterEach, beforeEach, expect, test, vi } from 'vitest';
 import { createEntryFeed } from '../src/entry-feed.js';
-import { createFakeStore } from './support/fake-store.js';
+import { createFakeStore, createTestBridge, createTestEra } from './support/fake-store.js';
 import type { EntryDelta, FeedOptions } from '../src/entry-feed.js';
 import type { FakeStore } from './support/fake-store.js';
 
@@ -18,6 +18,8 @@
   return createEntryFeed({
     kind: 'upstreams',
     store,
+    era: createTestEra(),
+    restored: createTestBridge(),
     telemetry: createTelemetry({}, () => {}),
     waitMs: 1_000,
     pauseMs: 600,
@@ -27,9 +29,16 @@
   });
 }
 
-const added = (name: string, revision: number) => ({ name, revision, value: 1, isRemoved: false });
-const removed = (name: string, revision: number) => ({
+const added = (name: string, revision: number, era = 1) => ({
   name,
+  era,
+  revision,
+  value: 1,
+  isRemoved: false,
+});
+const removed = (name: string, revision: number, era = 1) => ({
+  name,
+  era,
   revision,
   value: null,
   isRemoved: true,
@@ -87,10 +96,10 @@
 test('a list from a peer is adopted only when it is newer', () => {
   const changes: string[][] = [];
   const feed = createFeed(createFakeStore(), changes);
-  const entry = { name: 'a', revision: 5, value: 1 };
-  expect(feed.adopt({ entries: [entry], revision: 9 })).toBe(true);
-  expect(feed.adopt({ entries: [], revision: 9 })).toBe(false);
-  expect(feed.adopt({ entries: [], revision: 3 })).toBe(false);
+  const entry = { name: 'a', era: 1, revision: 5, value: 1 };
+  expect(feed.adopt({ entries: [entry], era: 1, revision: 9 })).toBe(true);
+  expect(feed.adopt({ entries: [], era: 1, revision: 9 })).toBe(false);
+  expect(feed.adopt({ entries: [], era: 1, revision: 3 })).toBe(false);
   expect(changes).toEqual([['a']]);
 });
 
@@ -107,10 +116,14 @@
   });
   void feed.run(stop.signal);
   await vi.advanceTimersByTimeAsync(700);
-  const before = feed.changeRevision();
+  const before = feed.changePosition().revision;
   store.put('one', { state: 'ready', heartbeat: 2 });
   await vi.advanceTimersByTimeAsync(1_400);
-  expect([changes.length, forwarded.length, feed.changeRevision()]).toEqual([1, 0, before]);
+  expect([changes.length, forwarded.length, feed.changePosition().revision]).toEqual([
+    1,
+    0,
+    before,
+  ]);
   store.put('one', { state: 'draining', heartbeat: 3 });
   await vi.advanceTimersByTimeAsync(1_400);
   expect(changes).toHaveLength(2);
@@ -123,30 +136,30 @@
 test('a change forwarded by a peer is applied when no earlier change is missing', () => {
   const changes: string[][] = [];
   const feed = createFeed(createFakeStore(), changes);
-  feed.adopt({ entries: [{ name: 'a', revision: 5, value: 1 }], revision: 9 });
-  expect(feed.apply({ after: 9, revision: 11, changes: [added('b', 11)] })).toBe(true);
-  expect(feed.apply({ after: 12, revision: 13, changes: [removed('a', 13)] })).toBe(false);
+  feed.adopt({ entries: [{ name: 'a', era: 1, revision: 5, value: 1 }], era: 1, revision: 9 });
+  expect(feed.apply({ after: 9, era: 1, revision: 11, changes: [added('b', 11)] })).toBe(true);
+  expect(feed.apply({ after: 12, era: 1, revision: 13, changes: [removed('a', 13)] })).toBe(false);
   expect(changes.at(-1)).toEqual(['a', 'b']);
   // The peer knows of no change between 11 and 12, so no change is missing any more.
-  feed.confirm(11, 12);
-  expect(feed.apply({ after: 12, revision: 13, changes: [removed('a', 13)] })).toBe(true);
+  feed.confirm({ era: 1, revision: 11 }, 12);
+  expect(feed.apply({ after: 12, era: 1, revision: 13, changes: [removed('a', 13)] })).toBe(true);
   expect(changes.at(-1)).toEqual(['b']);
 });
 
 test('the revisions of a peer do not hide a change that is missing locally', () => {
   const feed = createFeed(createFakeStore(), []);
-  feed.adopt({ entries: [], revision: 9 });
-  feed.confirm(10, 20);
-  expect(feed.revision()).toBe(9);
+  feed.adopt({ entries: [], era: 1, revision: 9 });
+  feed.confirm({ era: 1, revision: 10 }, 20);
+  expect(feed.position().revision).toBe(9);
 });
 
 // Otherwise a removed upstream could return with a delayed message and get requests.
 test('a removed entry is not restored by an older change', () => {
   const changes: string[][] = [];
   const feed = createFeed(createFakeStore(), changes);
-  feed.adopt({ entries: [{ name: 'a', revision: 5, value: 1 }], revision: 9 });
-  feed.apply({ after: 9, revision: 12, changes: [removed('a', 12)] });
-  feed.apply({ after: 4, revision: 13, changes: [added('a', 5), added('b', 13)] });
+  feed.adopt({ entries: [{ name: 'a', era: 1, revision: 5, value: 1 }], era: 1, revision: 9 });
+  feed.apply({ after: 9, era: 1, revision: 12, changes: [removed('a', 12)] });
+  feed.apply({ after: 4, era: 1, revision: 13, changes: [added('a', 5), added('b', 13)] });
   expect(changes.at(-1)).toEqual(['b']);
 });
 
--- a/packages/serving/test/role-orders.test.ts
+++ b/packages/serving/test/role-orders.test.ts
@@ -36,10 +36,13 @@
       tablesName: 'main',
       tables: (value) => value as ServingTables,
       upstream: (_, value) => value as ServingUpstream,
+      tablesOrder: () => undefined,
+      upstreamOrder: () => undefined,
     },
     telemetry,
   );
-  const entry = (name: string, value: unknown) => [name, { name, revision: 1, value }] as const;
+  const entry = (name: string, value: unknown) =>
+    [name, { name, era: 1, revision: 1, value }] as const;
   directory.setTables(new Map([entry('main', createTables())]));
   directory.setUpstreams(
     new Map(
--- a/packages/serving/test/store-feeds.test.ts
+++ b/packages/serving/test/store-feeds.test.ts
@@ -2,7 +2,7 @@
 import { afterEach, beforeEach, expect, test, vi } from 'vitest';
 import type { KnowledgeBounds, StoredEntry } from '../src/index.js';
 import { createStoreFeeds } from '../src/store-feeds.js';
-import { createFakeStore } from './support/fake-store.js';
+import { createFakeStore, createTestEra } from './support/fake-store.js';
 import type { FakeStore } from './support/fake-store.js';
 
 const SMALL_SITE: KnowledgeBounds = {
@@ -41,10 +41,11 @@
 }
 
 async function startFeeds(bounds: KnowledgeBounds): Promise<Fixture> {
+  const era = createTestEra();
   const stores = {
-    tables: createFakeStore(),
-    upstreams: createFakeStore(),
-    outOfService: createFakeStore(),
+    tables: createFakeStore(era),
+    upstreams: createFakeStore(era),
+    outOfService: createFakeStore(era),
   };
   const known = new Map<Kind, readonly string[]>();
   const record = (kind: Kind) => (entries: ReadonlyMap<string, StoredEntry>) => {
@@ -53,10 +54,13 @@
   const stopping = new AbortController();
   createStoreFeeds({
     stores,
+    era,
     decoders: {
       tablesName: 'main',
       tables: () => undefined,
       upstream: () => undefined,
+      tablesOrder: () => undefined,
+      upstreamOrder: () => undefined,
     },
     bounds,
     watcherSelection: { whenSelected: async () => {} },
--- a/packages/serving/test/support/test-node.ts
+++ b/packages/serving/test/support/test-node.ts
@@ -17,11 +17,12 @@
   ServingRoute,
   ServingTables,
   ServingUpstream,
+  StoreEra,
   UpstreamReply,
   UpstreamSend,
   UpstreamTransport,
 } from '../../src/index.js';
-import { createFakeStore } from './fake-store.js';
+import { createFakeStore, createTestEra } from './fake-store.js';
 import type { FakeStore } from './fake-store.js';
 
 export const plainPool = poolId('plain');
@@ -209,6 +210,7 @@
 }
 
 export interface TestStores {
+  readonly era: StoreEra;
   readonly tables: FakeStore;
   readonly upstreams: FakeStore;
   readonly outOfService: FakeStore;
@@ -217,12 +219,14 @@
 }
 
 export function createTestStores(tables = createTables()): TestStores {
+  const era = createTestEra();
   const stores = {
-    tables: createFakeStore(),
-    upstreams: createFakeStore(),
-    outOfService: createFakeStore(),
-    nodes: createFakeStore(),
-    leases: createFakeStore(),
+    era,
+    tables: createFakeStore(era),
+    upstreams: createFakeStore(era),
+    outOfService: createFakeStore(era),
+    nodes: createFakeStore(era),
+    leases: createFakeStore(era),
   };
   stores.tables.put('main', tables);
   return stores;
@@ -260,8 +264,11 @@
     readiness: { host, port: readiness, path: '/ready' },
     peers: { host, port: peers },
     seeds,
+    era: stores.era,
     stores,
     decoders: {
+      tablesOrder: (value) => [(value as ServingTables).version],
+      upstreamOrder: (value) => [(value as ServingUpstream).startedAt],
       tablesName: 'main',
       tables: (value) => value as ServingTables,
       upstream: (_, value) => (value === null ? undefined : (value as ServingUpstream)),
--- a/packages/serving/test/watcher-selection.test.ts
+++ b/packages/serving/test/watcher-selection.test.ts
@@ -5,7 +5,7 @@
 import type { EntryFeed } from '../src/entry-feed.js';
 import type { EntryStore } from '../src/index.js';
 import { createWatcherSelection, isWatcher } from '../src/watcher-selection.js';
-import { createFakeStore } from './support/fake-store.js';
+import { createFakeStore, createTestBridge, createTestEra } from './support/fake-store.js';
 
 beforeEach(() => {
   vi.useFakeTimers({
@@ -94,6 +94,8 @@
       createEntryFeed({
         kind: 'upstreams',
         store: countCalls(storeOf(index)),
+        era: createTestEra(),
+        restored: createTestBridge(),
         telemetry: createTelemetry({}, () => {}),
         waitMs: 1_000,
         maxRetryMs: 1_200,
