Leave odd entries of other writers out without ending or falling behind

Reported by operators of other systems, and true here: a port out of range passed the address pattern and new URL threw on the first use; a deeply nested entry was read and overflowed the stack when the list was passed on to peers, which ended the feed's loop or the process; 1e999 was read as an infinite slow start, revision or time-out; a registration with such a port threw in the timer that sends reports; an entry in the place of a lease that is no object ended the lease's loop.

--- a/packages/core/src/events.ts
+++ b/packages/core/src/events.ts
@@ -98,6 +98,7 @@
   storeLost: defineEvent(1605, 'warn', 'the store does not answer'),
   storeRegained: defineEvent(1606, 'info', 'the store answers again'),
 
+  feedFailed: defineEvent(1608, 'error', 'following the store failed unexpectedly; continued'),
   storeRestored: defineEvent(1607, 'warn', 'the store was restored from a copy'),
 
   upstreamChanged: defineEvent(1801, 'info', 'upstream registered or changed'),
--- a/packages/serving/src/entry-feed.ts
+++ b/packages/serving/src/entry-feed.ts
@@ -291,15 +291,23 @@
     },
     run: async (signal) => {
       let mustList = true;
-      while (!signal.aborted) {
-        if (position.revision !== 0) await options.whenSelected?.(signal);
-        if (signal.aborted) break;
+      const follow = async (): Promise<void> => {
         if (mustList || position.era < era.current()) {
           mustList = !(await readList());
           if (mustList) await sleep(pauseMsAfter(failures), signal);
         } else {
           mustList = !(await watch(signal));
         }
+      };
+      while (!signal.aborted) {
+        if (position.revision !== 0) await options.whenSelected?.(signal);
+        if (signal.aborted) break;
+        try {
+          await follow();
+        } catch (thrown) {
+          telemetry.log('feedFailed', { kind, error: String(thrown) });
+          await sleep(options.maxRetryMs, signal);
+        }
       }
       clearTimeout(settleTimer);
     },
--- a/packages/serving/src/lease-objects.ts
+++ b/packages/serving/src/lease-objects.ts
@@ -47,8 +47,17 @@
  * recognises its own write whose response was lost.
  */
 function toObject(entry: StoredEntry): StoredObject {
-  const { writeId, held } = entry.value as { readonly writeId?: string; readonly held?: unknown };
-  return { key: entry.name, value: held, version: toVersion(entry), writeId: writeId ?? '' };
+  const { writeId, held } = (entry.value ?? {}) as {
+    readonly writeId?: unknown;
+    readonly held?: unknown;
+  };
+  return {
+    key: entry.name,
+    // An object that is no lease counts as one of an unknown holder.
+    value: typeof held === 'object' && held !== null ? held : {},
+    version: toVersion(entry),
+    writeId: typeof writeId === 'string' ? writeId : '',
+  };
 }
 
 /** Creates the object API calls that a lease needs. */
--- a/packages/serving/src/node-registry.ts
+++ b/packages/serving/src/node-registry.ts
@@ -2,6 +2,7 @@
 import { monotonicMs, sleep } from '@hibiscusbank/core';
 import type { Telemetry } from '@hibiscusbank/core';
 import type { EntryStore, StoredEntry } from './ports.js';
+import { isPort } from './peer-datagrams.js';
 import type { KnownPeer } from './peer-reports.js';
 
 /** Interval between two reads of the registry. */
@@ -30,9 +31,9 @@
 }
 
 function decodePeer({ name, value }: StoredEntry): KnownPeer | undefined {
-  const spec = value as Partial<KnownPeer> | null;
-  if (typeof spec?.host !== 'string' || typeof spec.port !== 'number') return undefined;
-  const { host, port, dataCentre } = spec;
+  const { host, port, dataCentre } = (value ?? {}) as Partial<KnownPeer>;
+  if (typeof host !== 'string' || !isPort(port)) return undefined;
+  if (dataCentre !== undefined && typeof dataCentre !== 'string') return undefined;
   return { node: name, host, port, dataCentre };
 }
 
--- a/packages/serving/src/peer-reports.ts
+++ b/packages/serving/src/peer-reports.ts
@@ -2,6 +2,7 @@
 import type { Telemetry } from '@hibiscusbank/core';
 import type { LivePeers } from './live-peers.js';
 import type { QuarantinedPart } from './part-quarantine.js';
+import { isPort } from './peer-datagrams.js';
 import type { PeerDatagrams } from './peer-datagrams.js';
 import type { Spending } from './spending-totals.js';
 import type { PrefillTotals } from './prefill-work.js';
@@ -122,6 +123,8 @@
   return (
     typeof report === 'object' &&
     typeof report?.node === 'string' &&
+    typeof report.host === 'string' &&
+    isPort(report.port) &&
     typeof report.startedAt === 'number' &&
     typeof report.sequence === 'number' &&
     typeof report.revisions === 'object' &&
--- a/packages/serving/src/request-permits.ts
+++ b/packages/serving/src/request-permits.ts
@@ -6,6 +6,7 @@
  */
 import { monotonicMs, rankByRendezvous } from '@hibiscusbank/core';
 import type { Telemetry } from '@hibiscusbank/core';
+import { isPort } from './peer-datagrams.js';
 import type { PeerDatagrams } from './peer-datagrams.js';
 import type { KnownPeer } from './peer-reports.js';
 import { createPermitGrants, GRANTER_POOL, OWN_SHARE_POOL } from './permit-grants.js';
@@ -86,7 +87,7 @@
   return (
     isNumber(permitAsk?.id) &&
     typeof permitAsk.from?.host === 'string' &&
-    isNumber(permitAsk.from.port) &&
+    isPort(permitAsk.from.port) &&
     isLimitStatement(permitAsk.statement) &&
     typeof permitAsk.dataCentre === 'string' &&
     typeof permitAsk.organisation === 'string' &&
--- a/packages/serving/test/entry-feed.test.ts
+++ b/packages/serving/test/entry-feed.test.ts
@@ -180,3 +180,28 @@
   ]);
   stop.abort();
 });
+
+// Otherwise one entry that a handler cannot take would end the process, or leave the node behind for good.
+test('an exception while a change is applied is logged and does not end the feed', async () => {
+  const store = createFakeStore();
+  const stop = new AbortController();
+  const lines: string[] = [];
+  const known: number[] = [];
+  const feed = createFeed(store, [], {
+    telemetry: createTelemetry({}, (_, __, text) => lines.push(text)),
+    onChange: (entries) => {
+      if (entries.has('odd')) throw new Error('cannot take it');
+      known.push(entries.size);
+    },
+  });
+  void feed.run(stop.signal);
+  await vi.advanceTimersByTimeAsync(700);
+  store.put('odd', 1);
+  await vi.advanceTimersByTimeAsync(3_000);
+  store.drop('odd');
+  store.put('sound', 1);
+  await vi.advanceTimersByTimeAsync(3_000);
+  expect(known.at(-1)).toBe(1);
+  expect(lines).toContain('following the store failed unexpectedly; continued');
+  stop.abort();
+});
--- a/packages/serving/test/request-limits.test.ts
+++ b/packages/serving/test/request-limits.test.ts
@@ -35,7 +35,7 @@
   const peers = Array.from({ length: size }, (_, index): KnownPeer => ({
     node: `node-${index}`,
     host: '127.0.0.1',
-    port: index,
+    port: index + 1,
     dataCentre: index % 3 === 0 ? 'a' : 'b',
   }));
   const reaches = (from: KnownPeer): readonly KnownPeer[] =>
@@ -52,7 +52,7 @@
       datagrams: {
         send: (message, recipients) => {
           for (const { port } of recipients) {
-            const to = nodes[port];
+            const to = nodes[port - 1];
             if (to === undefined || isCut(self.node, to.self.node)) continue;
             setTimeout(() => to.limits.receive(JSON.parse(JSON.stringify(message))), LATENCY_MS);
           }
@@ -98,7 +98,7 @@
     if (ms % REPORT_MS === 0) {
       for (const node of nodes) {
         for (const { port } of reaches(node.self))
-          nodes[port]?.limits.applyReport(node.limits.report());
+          nodes[port - 1]?.limits.applyReport(node.limits.report());
       }
     }
     await vi.advanceTimersByTimeAsync(STEP_MS);
