Send nothing to upstreams that state that they leave or want a pause

Nothing read Server-Leaving or Retry-After of an upstream: while the store and the peers say nothing, a node went on to send to a server that had said in its answers that it leaves, and to one that wanted nothing.

Change: responses are decoded once in platform/ into a statement of the upstream; leaving holds for the process and is told to the peers, a pause is the node's own, counts as no failure, and ends with one request first. While all pause, requests are refused at once with the time until the first returns. Bad values change nothing and are logged once.

--- a/packages/core/src/events.ts
+++ b/packages/core/src/events.ts
@@ -141,12 +141,18 @@
   partCleared: defineEvent(1829, 'info', 'quarantine of a prompt part lifted'),
   upstreamLimitStated: defineEvent(1830, 'warn', 'upstream limits the requests of all nodes'),
   upstreamLimitLifted: defineEvent(1831, 'info', 'upstream no longer limits the requests'),
-  upstreamLimitInvalid: defineEvent(1832, 'warn', 'upstream states a limit that cannot be read'),
+  upstreamStatementInvalid: defineEvent(
+    1832,
+    'warn',
+    'upstream states headers that cannot be read',
+  ),
   permitRefused: defineEvent(
     1833,
     'info',
     'request refused; all its upstreams limit their requests',
   ),
+  upstreamLeaving: defineEvent(1834, 'info', 'upstream states that it leaves'),
+  upstreamPaused: defineEvent(1835, 'info', 'upstream wants no requests of this node for a while'),
   settingsReloaded: defineEvent(1816, 'info', 'settings reloaded'),
 
   invariantViolated: defineEvent(1901, 'error', 'invariant violated'),
--- a/packages/serving/src/choose-plain.ts
+++ b/packages/serving/src/choose-plain.ts
@@ -22,7 +22,7 @@
     }
   /** No upstream can take the request. */
   | { readonly kind: 'none' }
-  /** All upstreams limit their requests; the next place is free after `retryAfterMs`. */
+  /** All upstreams limit their requests or pause; the next place is free after `retryAfterMs`. */
   | { readonly kind: 'limited'; readonly retryAfterMs: number };
 
 interface Refusal {
@@ -65,7 +65,12 @@
   }));
   waits.sort((a, b) => a.waitMs - b.waitMs);
   const [earliest] = waits;
-  if (earliest === undefined || signal.aborted) return { kind: 'none' };
+  if (signal.aborted) return { kind: 'none' };
+  if (earliest === undefined) {
+    const left = directory.usable(pool.id).filter(({ id }) => !excluded.has(id));
+    const retryAfterMs = context.unavailable.returnMs(left);
+    return retryAfterMs > 0 ? { kind: 'limited', retryAfterMs } : { kind: 'none' };
+  }
   const { upstream } = earliest;
   const last = await permits.acquire(upstream, ask);
   if (last.isGranted) {
--- a/packages/serving/src/context.ts
+++ b/packages/serving/src/context.ts
@@ -29,6 +29,7 @@
   ServingRoute,
   ServingUpstream,
 } from './types.js';
+import type { UnavailableUpstreams } from './unavailable-upstreams.js';
 import type { UpstreamHealth } from './upstream-health.js';
 import type { UpstreamLoads } from './upstream-loads.js';
 
@@ -42,6 +43,8 @@
   /** Permits for requests to upstreams that limit the rate of all nodes. */
   readonly permits: Pick<RequestLimits, 'mayAsk' | 'nextPermitMs' | 'acquire' | 'expectedRate'>;
   readonly crashProtection: Pick<CrashProtection, 'findBlocked' | 'beginRun'>;
+  /** Upstreams that stated that they leave or want no requests for a while. */
+  readonly unavailable: Pick<UnavailableUpstreams, 'find' | 'returnMs' | 'recordSend'>;
   readonly health: UpstreamHealth;
   /** Upstreams whose entry is out of date. */
   readonly moved: MovedUpstreams;
@@ -121,7 +124,7 @@
   excluded: ReadonlySet<UpstreamId>,
   maxPermitWaitMs = 0,
 ): PlacementContext {
-  const { coldLimit, health, permits } = context;
+  const { coldLimit, health, permits, unavailable } = context;
   return {
     dataCentre: context.dataCentre,
     excluded,
@@ -138,7 +141,10 @@
           (upstream.role !== undefined && context.isDataCentreSilent(upstream.dataCentre)) ||
           context.pace.isSlow(upstream.id),
         isCold,
-        isChanging: context.isChanging(upstream) || context.moved.has(upstream),
+        isChanging:
+          context.isChanging(upstream) ||
+          context.moved.has(upstream) ||
+          unavailable.find(upstream) !== undefined,
         isWithinRateLimits:
           permits.mayAsk(upstream, maxPermitWaitMs) &&
           (!isCold || coldLimit.isAllowed(upstream.id, pool.coldRequestsPerSecond)),
--- a/packages/serving/src/failures.ts
+++ b/packages/serving/src/failures.ts
@@ -21,7 +21,7 @@
 
 /** Returns the error for a request for which upstreams at their limits have no place in time. */
 export function describeLimited(retryAfterMs: number): RouterError {
-  return createError('no_capacity', 'all upstreams limit their requests; retry later', {
+  return createError('no_capacity', 'all upstreams limit their requests or pause; retry later', {
     effect: 'not_run',
     retryAfterMs,
   });
--- a/packages/serving/src/peer-reports.ts
+++ b/packages/serving/src/peer-reports.ts
@@ -8,6 +8,7 @@
 import type { PrefillTotals } from './prefill-work.js';
 import type { LimitStatement } from './stated-limits.js';
 import type { EngineRole } from './types.js';
+import type { LeavingUpstream } from './unavailable-upstreams.js';
 import type { LoadReport } from './upstream-loads.js';
 
 /** Interval between two reports to each peer in a small fleet. */
@@ -71,6 +72,8 @@
   readonly quarantined: readonly QuarantinedPart[];
   /** Limits that upstreams stated, to this node or to others. */
   readonly limits: readonly LimitStatement[];
+  /** Upstreams that stated that they leave, to this node or to others. */
+  readonly leaving: readonly LeavingUpstream[];
 }
 
 export type LocalState = Pick<
@@ -85,6 +88,7 @@
   | 'prefillMs'
   | 'quarantined'
   | 'limits'
+  | 'leaving'
 >;
 
 export interface PeerReportsOptions {
--- a/packages/serving/src/placement.ts
+++ b/packages/serving/src/placement.ts
@@ -18,7 +18,8 @@
   readonly isWithinRateLimits: boolean;
   readonly isCold: boolean;
   /**
-   * Whether the upstream is changing role, or is not what its entry says; it gets no requests then.
+   * Whether the upstream is changing role, is not what its entry says, leaves or pauses; it gets no
+   * requests then.
    */
   readonly isChanging: boolean;
 }
--- a/packages/serving/src/ports.ts
+++ b/packages/serving/src/ports.ts
@@ -53,7 +53,7 @@
   orderRole(order: RoleOrder): Promise<Result<void, SendFailure>>;
   /** Releases a KV cache that no engine will fetch. */
   dropHandle(handle: KvHandle): void;
-  /** Registers the function that receives what upstreams state in their responses to requests. */
+  /** Registers the function that receives what upstreams state in their responses. */
   onStatement(listener: (upstream: ServingUpstream, statement: UpstreamStatement) => void): void;
   /** Closes connections to all upstreams except the given ones. */
   retain(upstreams: readonly ServingUpstream[]): void;
--- a/packages/serving/src/prefill-prompt.ts
+++ b/packages/serving/src/prefill-prompt.ts
@@ -72,6 +72,7 @@
     const startedAt = monotonicMs();
     coldLimit.record(upstream.id);
     health.recordSend(upstream);
+    context.unavailable.recordSend(upstream);
     const finishRun = context.crashProtection.beginRun(upstream, req);
     const result = await transport.prefill({
       upstream,
@@ -100,7 +101,8 @@
       return { kind: 'prefilled', handle: result.value };
     }
     if (signal.aborted) return { kind: 'not_prefilled' };
-    health.recordFailure(upstream, gotNoResponse(result.error) ? 'no_response' : 'answered');
+    if (context.unavailable.find(upstream) === undefined)
+      health.recordFailure(upstream, gotNoResponse(result.error) ? 'no_response' : 'answered');
     failed.add(upstream.id);
     if (result.error.reason === 'moved') context.moved.record(upstream);
     telemetry.log('prefillFailed', {
--- a/packages/serving/src/request-limits.ts
+++ b/packages/serving/src/request-limits.ts
@@ -2,7 +2,6 @@
 import type { Telemetry } from '@hibiscusbank/core';
 import type { PeerDatagrams } from './peer-datagrams.js';
 import type { KnownPeer } from './peer-reports.js';
-import type { UpstreamTransport } from './ports.js';
 import { createRequestPermits } from './request-permits.js';
 import type { PermitUpstream, RequestPermits } from './request-permits.js';
 import { createStatedLimits, isLimitNotice } from './stated-limits.js';
@@ -10,7 +9,6 @@
 
 export interface RequestLimitsOptions {
   readonly self: KnownPeer;
-  readonly transport: Pick<UpstreamTransport, 'onStatement'>;
   readonly datagrams: Pick<PeerDatagrams, 'send'>;
   /** Returns the other nodes. */
   readonly peers: () => readonly KnownPeer[];
@@ -24,6 +22,11 @@
 }
 
 export interface RequestLimits extends Omit<RequestPermits, 'receive' | 'expectedRate'> {
+  /**
+   * Records the limit in a response to a request that was sent at `sentAt`; `undefined` if it states
+   * none.
+   */
+  record(upstream: PermitUpstream, perSecond: number | undefined, sentAt: number): void;
   /**
    * Returns the requests per second that this node may expect to send to the given upstreams, or
    * `undefined` if one of them has no limit.
@@ -39,16 +42,14 @@
 
 /** Creates the limits of one node. */
 export function createRequestLimits(options: RequestLimitsOptions): RequestLimits {
-  const { transport, datagrams, peers, telemetry } = options;
+  const { datagrams, peers, telemetry } = options;
   const limits = createStatedLimits({
     onFirstStatement: (limitNotice) => datagrams.send({ limitNotice }, peers()),
     telemetry,
   });
   const permits = createRequestPermits({ ...options, limits });
-  transport.onStatement((upstream, { limitPerSecond, sentAt }) =>
-    limits.record(upstream, limitPerSecond, sentAt),
-  );
   return {
+    record: limits.record,
     mayAsk: permits.mayAsk,
     nextPermitMs: permits.nextPermitMs,
     acquire: permits.acquire,
--- a/packages/serving/src/reserve-engine.ts
+++ b/packages/serving/src/reserve-engine.ts
@@ -43,16 +43,18 @@
   );
 }
 
-/** Returns the wait that the limits of the decode engines impose behind the waiting requests. */
+/** Returns the wait that limits and pauses of the decode engines impose behind the waiting requests. */
 export function estimateLimitedWaitMs(
-  { directory, permits }: ServingContext,
+  { directory, permits, unavailable }: ServingContext,
   pool: PoolId,
   waiting: number,
 ): number {
   const engines = directory.usable(pool).filter(({ role }) => role === 'decode');
   const perSecond = engines.length === 0 ? undefined : permits.expectedRate(engines);
   // With no requests ahead the wait is 0, since other nodes may leave permits unused.
-  return perSecond === undefined ? 0 : (waiting / Math.max(MIN_RATE_PER_S, perSecond)) * MS_PER_S;
+  const limitedMs =
+    perSecond === undefined ? 0 : (waiting / Math.max(MIN_RATE_PER_S, perSecond)) * MS_PER_S;
+  return Math.max(limitedMs, unavailable.returnMs(engines));
 }
 
 /**
--- a/packages/serving/src/serve-plain.ts
+++ b/packages/serving/src/serve-plain.ts
@@ -54,6 +54,7 @@
   const limit = startTimeLimit(admitted.signal, limitMs);
   coldLimit.record(upstream.id);
   health.recordSend(upstream);
+  context.unavailable.recordSend(upstream);
   const finishRun = context.crashProtection.beginRun(upstream, admitted.req);
   const sent = await transport.send({
     upstream,
@@ -69,7 +70,9 @@
   release();
   if (sent.isErr()) {
     const hasRequestEnded = sent.error.reason === 'aborted' && !limit.isExpired();
-    if (!hasRequestEnded && sent.error.reason !== 'moved') {
+    // A refusal that asks for a pause is no failure of the upstream.
+    const isPause = context.unavailable.find(upstream) !== undefined;
+    if (!hasRequestEnded && !isPause && sent.error.reason !== 'moved') {
       health.recordFailure(upstream, gotNoResponse(sent.error) ? 'no_response' : 'answered');
     }
     return err(sent.error);
--- a/packages/serving/src/serve-stream.ts
+++ b/packages/serving/src/serve-stream.ts
@@ -147,6 +147,7 @@
   limit.signal.addEventListener('abort', abortRun, { once: true });
   const stopWatch = route.isResumable ? watchStall(progress, route, abortRun) : () => {};
   coldLimit.record(reservation.upstream.id);
+  context.unavailable.recordSend(reservation.upstream);
   const finishRun = context.crashProtection.beginRun(reservation.upstream, req);
   const sent = await transport.send({
     upstream: reservation.upstream,
@@ -235,7 +236,10 @@
         until: monotonicMs() + state.engineSettings.kvHandleTtlMs * HANDLE_REUSE_SHARE,
       };
   };
-  if (admitted.signal.aborted || isBlocked() || !directory.isUsable(reservation.upstream)) {
+  const isUsable =
+    directory.isUsable(reservation.upstream) &&
+    context.unavailable.find(reservation.upstream) === undefined;
+  if (admitted.signal.aborted || isBlocked() || !isUsable) {
     releaseUnused();
     context.telemetry.log('runNotSent', {
       request: admitted.req.id,
--- a/packages/serving/src/serving-node.ts
+++ b/packages/serving/src/serving-node.ts
@@ -40,6 +40,7 @@
 import type { ServingNodeOptions } from './serving-node-options.js';
 import { stopListening } from './stop-listening.js';
 import { createStoreFeeds } from './store-feeds.js';
+import { createUnavailableUpstreams, isLeavingNotice } from './unavailable-upstreams.js';
 import { createUpstreamHealth } from './upstream-health.js';
 import { createUpstreamLoads } from './upstream-loads.js';
 import { createWatcherSelection } from './watcher-selection.js';
@@ -131,7 +132,6 @@
   });
   const limits = createRequestLimits({
     self,
-    transport,
     datagrams,
     peers: recipients,
     isSilent: livePeers.hasTimedOut,
@@ -139,6 +139,15 @@
     reachableShare,
     telemetry,
   });
+  const unavailable = createUnavailableUpstreams({
+    onLeaving: (leavingNotice) => datagrams.send({ leavingNotice }, recipients()),
+    telemetry,
+  });
+  transport.onStatement((upstream, statement) => {
+    unavailable.record(upstream, statement);
+    const { limit, sentAt } = statement;
+    if (limit !== undefined) limits.record(upstream, limit.perSecond, sentAt);
+  });
   const notices = createChangeNotices({ datagrams, recipients: localPeerReports });
 
   const feeds = createStoreFeeds({
@@ -190,6 +199,7 @@
       prefillMs: prefillWork.localTotals(),
       quarantined: crashProtection.report(),
       limits: limits.report(),
+      leaving: unavailable.report(),
     }),
     beforeRound: () => {
       watcherSelection.check();
@@ -209,6 +219,7 @@
       quota.applyReport(report);
       crashProtection.applyReport(report.quarantined);
       limits.applyReport(report.limits);
+      unavailable.applyReport(report.leaving);
     },
     onTimeout: (node) => {
       quota.markAbsent(node);
@@ -219,7 +230,8 @@
 
   const receive = (message: unknown): void => {
     if (limits.receive(message)) return;
-    if (isChangeNotice(message)) feeds.byKind[message.notice]?.apply(message.delta);
+    if (isLeavingNotice(message)) unavailable.applyReport([message.leavingNotice]);
+    else if (isChangeNotice(message)) feeds.byKind[message.notice]?.apply(message.delta);
     else if (!crashProtection.receive(message) && !reports.receive(message)) {
       telemetry.log('peerReportRejected', { error: 'unknown message format' });
     }
@@ -258,6 +270,7 @@
     }),
     crashProtection,
     permits: limits,
+    unavailable,
     coldLimit: createColdLimit({ self: self.node, nodes: registry.names }),
     health,
     moved: createMovedUpstreams(),
--- a/packages/serving/src/types.ts
+++ b/packages/serving/src/types.ts
@@ -164,8 +164,15 @@
 
 /** What an upstream states about itself in the headers of a response. */
 export interface UpstreamStatement {
-  /** Requests per second that it takes from all nodes together, if it states a limit. */
-  readonly limitPerSecond: number | undefined;
+  /**
+   * Requests per second that it takes from all nodes together, or that it states no limit;
+   * `undefined` if the response says nothing about limits.
+   */
+  readonly limit: { readonly perSecond: number | undefined } | undefined;
+  /** Whether it is leaving and wants no further requests. */
+  readonly isLeaving: boolean;
+  /** Time for which it wants no requests from this node, 0 if it states none. */
+  readonly pauseMs: number;
   /** Monotonic time at which the request was sent. */
   readonly sentAt: number;
 }
--- a/packages/serving/test/limited-upstreams.test.ts
+++ b/packages/serving/test/limited-upstreams.test.ts
@@ -3,6 +3,7 @@
 import {
   createFakeTransport,
   createReply,
+  createStatement,
   createTestStores,
   createUpstream,
   enginePool,
@@ -23,16 +24,13 @@
   for (const name of names) stores.upstreams.put(name, createUpstream(name));
   transport.reply = async ({ upstream }) => {
     const limitPerSecond = limited.includes(upstream.id) ? perSecond : undefined;
-    transport.state(upstream, { limitPerSecond, sentAt: performance.now() });
+    transport.state(upstream, createStatement({ limit: { perSecond: limitPerSecond } }));
     return ok(createReply(['done']));
   };
   const started = await startTestNode(stores, transport);
   await waitUntilReady(started);
   for (const name of limited) {
-    transport.state(createUpstream(name), {
-      limitPerSecond: perSecond,
-      sentAt: performance.now(),
-    });
+    transport.state(createUpstream(name), createStatement({ limit: { perSecond } }));
   }
   return started;
 }
@@ -75,10 +73,10 @@
   ];
   for (const engine of engines) stores.upstreams.put(engine.id, engine);
   const state = (name: string): void =>
-    transport.state(engines.find(({ id }) => id === name) ?? createUpstream(name), {
-      limitPerSecond: name === 'd2' ? undefined : 0.01,
-      sentAt: performance.now(),
-    });
+    transport.state(
+      engines.find(({ id }) => id === name) ?? createUpstream(name),
+      createStatement({ limit: { perSecond: name === 'd2' ? undefined : 0.01 } }),
+    );
   transport.reply = async ({ upstream }) => {
     state(upstream.id);
     return ok(createReply(['id: 1\ndata: x\n\n']));
--- a/packages/serving/test/peer-reports.test.ts
+++ b/packages/serving/test/peer-reports.test.ts
@@ -24,6 +24,7 @@
   prefillMs: {},
   quarantined: [],
   limits: [],
+  leaving: [],
 };
 
 function createPeers(count: number, dataCentres: number): KnownPeer[] {
--- a/packages/serving/test/request-limits.test.ts
+++ b/packages/serving/test/request-limits.test.ts
@@ -3,7 +3,6 @@
 import type { KnownPeer } from '../src/peer-reports.js';
 import { createRequestLimits } from '../src/request-limits.js';
 import type { RequestLimits } from '../src/request-limits.js';
-import type { UpstreamTransport } from '../src/index.js';
 import { createUpstream } from './support/test-node.js';
 
 const WINDOW_MS = 4_000;
@@ -24,7 +23,6 @@
 interface Node {
   readonly self: KnownPeer;
   readonly limits: RequestLimits;
-  readonly state: Parameters<UpstreamTransport['onStatement']>[0];
   /** Times of the requests that the node sent to the upstream. */
   readonly sends: number[];
 }
@@ -41,14 +39,8 @@
   const reaches = (from: KnownPeer): readonly KnownPeer[] =>
     peers.filter(({ node }) => node !== from.node && !isCut(from.node, node));
   for (const self of peers) {
-    let state: Node['state'] = () => {};
     const limits = createRequestLimits({
       self,
-      transport: {
-        onStatement: (listener) => {
-          state = listener;
-        },
-      },
       datagrams: {
         send: (message, recipients) => {
           for (const { port } of recipients) {
@@ -65,7 +57,7 @@
       reachableShare: () => (reaches(self).length + 1) / size,
       telemetry: createTelemetry({ vm: self.node }, () => {}),
     });
-    nodes.push({ self, limits, state: (...args) => state(...args), sends: [] });
+    nodes.push({ self, limits, sends: [] });
   }
   return { nodes, reaches };
 }
@@ -86,7 +78,7 @@
     if (!isGranted) return;
     node.sends.push(performance.now());
     const sentAt = performance.now();
-    setTimeout(() => node.state(upstream, { limitPerSecond: limit, sentAt }), 10);
+    setTimeout(() => node.limits.record(upstream, limit, sentAt), 10);
   };
   for (let ms = 0; ms < seconds * 1_000; ms += STEP_MS) {
     for (const node of nodes) {
--- a/packages/serving/test/support/test-node.ts
+++ b/packages/serving/test/support/test-node.ts
@@ -20,6 +20,7 @@
   StoreEra,
   UpstreamReply,
   UpstreamSend,
+  UpstreamStatement,
   UpstreamTransport,
 } from '../../src/index.js';
 import { createFakeStore, createTestEra } from './fake-store.js';
@@ -148,6 +149,11 @@
   };
 }
 
+/** Creates what a response states that was sent just now. */
+export function createStatement(change: Partial<UpstreamStatement> = {}): UpstreamStatement {
+  return { limit: undefined, isLeaving: false, pauseMs: 0, sentAt: performance.now(), ...change };
+}
+
 export interface FakeTransport extends UpstreamTransport {
   readonly sends: UpstreamSend[];
   readonly prefills: UpstreamSend[];
