Log a varying limit once, and bound the asks that a granter keeps

A limit may change with each response; a line for each change would flood the log. At many asks a second the list of asks of four seconds made each decision slow. Found by reading; the test of the log failed before.

--- a/packages/serving/src/permit-grants.ts
+++ b/packages/serving/src/permit-grants.ts
@@ -19,6 +19,8 @@
 const MIN_PER_S = 0.2;
 /** Time for which asks and grants count in the shares of organisations and priorities. */
 const SHARE_WINDOW_MS = 4_000;
+/** Asks that count at most, the latest ones. */
+const MAX_ASKS = 500;
 /** Fraction of the permits that less urgent requests get beside any number of more urgent ones. */
 const LESS_URGENT_SHARE = 0.25;
 
@@ -106,7 +108,7 @@
     const earned = ((now - bucket.updatedAt) / MS_PER_S) * rate;
     bucket.permits = Math.min(pool.permits + rate * pool.seconds, bucket.permits + earned);
     bucket.updatedAt = now;
-    bucket.asks = bucket.asks.filter(({ at }) => now - at < SHARE_WINDOW_MS);
+    bucket.asks = bucket.asks.filter(({ at }) => now - at < SHARE_WINDOW_MS).slice(-MAX_ASKS);
     return bucket;
   };
 
--- a/packages/serving/src/stated-limits.ts
+++ b/packages/serving/src/stated-limits.ts
@@ -30,6 +30,7 @@
   readonly pool: string | undefined;
   readonly perSecond: number | undefined;
   readonly statedAt: number;
+  /** Time since which the process has stated a limit, if it states one. */
   readonly since: number;
 }
 
@@ -94,19 +95,18 @@
   const store = (id: string, next: Omit<KnownLimit, 'since'>): void => {
     const known = limits.get(id);
     const isSame = known?.startedAt === next.startedAt && known.perSecond === next.perSecond;
+    const isStill = known?.startedAt === next.startedAt && known.perSecond !== undefined;
     limits.set(id, {
       ...next,
       pool: next.pool ?? known?.pool,
-      since: isSame ? known.since : monotonicMs(),
+      since: isStill ? known.since : monotonicMs(),
     });
     if (isSame) return;
     countLimited();
+    // A limit may change with each response, so only its beginning and its end are logged.
     if (next.perSecond !== undefined) {
-      telemetry.log('upstreamLimitStated', {
-        upstream: id,
-        perSecond: next.perSecond,
-        before: known?.perSecond,
-      });
+      if (!isStill)
+        telemetry.log('upstreamLimitStated', { upstream: id, perSecond: next.perSecond });
     } else if (known?.perSecond !== undefined) {
       telemetry.log('upstreamLimitLifted', {
         upstream: id,
--- a/packages/serving/test/stated-limits.test.ts
+++ b/packages/serving/test/stated-limits.test.ts
@@ -112,3 +112,21 @@
   limits.retain([restarted]);
   expect(limits.report()).toHaveLength(0);
 });
+
+test('a limit that changes with each response is logged when it begins and when it ends', () => {
+  const lines: string[] = [];
+  const limits = createStatedLimits({
+    onFirstStatement: () => {},
+    telemetry: createTelemetry({ vm: 'node-1' }, (_, fields, text) =>
+      lines.push(`${text} ${JSON.stringify(fields)}`),
+    ),
+  });
+  for (let count = 1; count <= 10; count += 1) {
+    vi.advanceTimersByTime(1_000);
+    limits.record(upstream, count, now());
+  }
+  vi.advanceTimersByTime(1_000);
+  limits.record(upstream, undefined, now());
+  expect(lines).toHaveLength(2);
+  expect(lines[1]).toContain('"ms":10000');
+});
