--- a/packages/serving/src/node-registry.ts
+++ b/packages/serving/src/node-registry.ts
@@ -1,8 +1,8 @@
 /** Registers this node in the platform's store and discovers the others there. */
 import { monotonicMs, sleep } from '@hibiscusbank/core';
 import type { Telemetry } from '@hibiscusbank/core';
+import { isPort } from './message-values.js';
 import type { EntryStore, StoredEntry } from './ports.js';
-import { isPort } from './peer-datagrams.js';
 import type { KnownPeer } from './peer-reports.js';
 
 /** Interval between two reads of the registry. */
--- a/packages/serving/src/peer-datagrams.ts
+++ b/packages/serving/src/peer-datagrams.ts
@@ -9,8 +9,6 @@
 /** Maximum message size, which fits into one UDP datagram. */
 const MAX_MESSAGE_BYTES = 60_000;
 
-const MAX_PORT = 65_535;
-
 interface Address {
   readonly host: string;
   readonly port: number;
@@ -29,11 +27,6 @@
   readonly telemetry: Telemetry;
 }
 
-/** Whether a value is a port to which datagrams can be sent. */
-export function isPort(value: unknown): value is number {
-  return typeof value === 'number' && Number.isInteger(value) && value > 0 && value <= MAX_PORT;
-}
-
 /** Creates the UDP socket of one node. */
 export function createPeerDatagrams({ self, telemetry }: PeerDatagramsOptions): PeerDatagrams {
   let socket: Socket | undefined;
--- a/packages/serving/src/peer-reports.ts
+++ b/packages/serving/src/peer-reports.ts
@@ -1,8 +1,8 @@
 /** Periodic reports between nodes: load, quota spending and configuration state. */
 import type { Telemetry } from '@hibiscusbank/core';
 import type { LivePeers } from './live-peers.js';
+import { isPort } from './message-values.js';
 import type { QuarantinedPart } from './part-quarantine.js';
-import { isPort } from './peer-datagrams.js';
 import type { PeerDatagrams } from './peer-datagrams.js';
 import type { Spending } from './spending-totals.js';
 import type { PrefillTotals } from './prefill-work.js';
--- a/packages/serving/src/quarantine-notices.ts
+++ b/packages/serving/src/quarantine-notices.ts
@@ -1,4 +1,5 @@
 /** Messages by which nodes tell each other at once which upstreams ended, and which parts are sound. */
+import { isNonNegative } from './message-values.js';
 import type { EndedRun, QuarantinedPart, UpstreamEnd } from './part-quarantine.js';
 
 /** Limits of what is accepted from callers and peers. */
@@ -16,9 +17,6 @@
   readonly clearedParts: readonly string[];
 }
 
-const isNonNegative = (value: unknown): value is number =>
-  typeof value === 'number' && Number.isFinite(value) && value >= 0;
-
 /** Whether a value is the id of a part of a prompt. */
 export function isPart(value: unknown): value is string {
   return typeof value === 'string' && value.length > 0 && value.length <= MAX_PART_LENGTH;
--- a/packages/serving/src/request-limits.ts
+++ b/packages/serving/src/request-limits.ts
@@ -1,25 +1,10 @@
 /** Keeps all nodes together within the request rates to which upstreams limit them. */
-import type { Telemetry } from '@hibiscusbank/core';
-import type { PeerDatagrams } from './peer-datagrams.js';
-import type { KnownPeer } from './peer-reports.js';
 import { createRequestPermits } from './request-permits.js';
-import type { PermitUpstream, RequestPermits } from './request-permits.js';
+import type { PermitUpstream, RequestPermits, RequestPermitsOptions } from './request-permits.js';
 import { createStatedLimits, isLimitNotice } from './stated-limits.js';
 import type { LimitStatement } from './stated-limits.js';
 
-export interface RequestLimitsOptions {
-  readonly self: KnownPeer;
-  readonly datagrams: Pick<PeerDatagrams, 'send'>;
-  /** Returns the other nodes. */
-  readonly peers: () => readonly KnownPeer[];
-  /** Whether a node has stopped reporting. */
-  readonly isSilent: (node: string) => boolean;
-  /** Returns the number of registered nodes. */
-  readonly fleetSize: () => number;
-  /** Returns the fraction of the fleet that this node has contact with, itself included. */
-  readonly reachableShare: () => number;
-  readonly telemetry: Telemetry;
-}
+export type RequestLimitsOptions = Omit<RequestPermitsOptions, 'limits'>;
 
 export interface RequestLimits extends Omit<RequestPermits, 'receive' | 'expectedRate'> {
   /**
--- a/packages/serving/src/request-permits.ts
+++ b/packages/serving/src/request-permits.ts
@@ -6,7 +6,7 @@
  */
 import { monotonicMs, rankByRendezvous } from '@hibiscusbank/core';
 import type { Telemetry } from '@hibiscusbank/core';
-import { isPort } from './peer-datagrams.js';
+import { isNonNegative, isPort } from './message-values.js';
 import type { PeerDatagrams } from './peer-datagrams.js';
 import type { KnownPeer } from './peer-reports.js';
 import { createPermitGrants, GRANTER_POOL, OWN_SHARE_POOL } from './permit-grants.js';
@@ -79,30 +79,27 @@
 
 const GRANTED: PermitDecision = { isGranted: true, waitMs: 0, nextMs: 0 };
 
-const isNumber = (value: unknown): value is number =>
-  typeof value === 'number' && Number.isFinite(value) && value >= 0;
-
 function isAsk(message: unknown): message is AskMessage {
   const { permitAsk } = (message ?? {}) as Partial<AskMessage>;
   return (
-    isNumber(permitAsk?.id) &&
+    isNonNegative(permitAsk?.id) &&
     typeof permitAsk.from?.host === 'string' &&
     isPort(permitAsk.from.port) &&
     isLimitStatement(permitAsk.statement) &&
     typeof permitAsk.dataCentre === 'string' &&
     typeof permitAsk.organisation === 'string' &&
-    isNumber(permitAsk.priority) &&
-    isNumber(permitAsk.onTargetMs) &&
-    isNumber(permitAsk.maxWaitMs)
+    isNonNegative(permitAsk.priority) &&
+    isNonNegative(permitAsk.onTargetMs) &&
+    isNonNegative(permitAsk.maxWaitMs)
   );
 }
 
 function isAnswer(message: unknown): message is AnswerMessage {
   const { permitAnswer } = (message ?? {}) as Partial<AnswerMessage>;
   return (
-    isNumber(permitAnswer?.id) &&
-    isNumber(permitAnswer.waitMs) &&
-    isNumber(permitAnswer.nextMs) &&
+    isNonNegative(permitAnswer?.id) &&
+    isNonNegative(permitAnswer.waitMs) &&
+    isNonNegative(permitAnswer.nextMs) &&
     typeof permitAnswer.isGranted === 'boolean' &&
     typeof permitAnswer.isGranter === 'boolean'
   );
--- a/packages/serving/src/stated-limits.ts
+++ b/packages/serving/src/stated-limits.ts
@@ -5,6 +5,7 @@
  */
 import { monotonicMs } from '@hibiscusbank/core';
 import type { Telemetry } from '@hibiscusbank/core';
+import { isNonNegative } from './message-values.js';
 import type { ServingUpstream } from './types.js';
 
 /** Time for which nodes tell each other that an upstream no longer states a limit. */
@@ -57,17 +58,14 @@
   retain(upstreams: readonly Process[]): void;
 }
 
-const isNumber = (value: unknown): value is number =>
-  typeof value === 'number' && Number.isFinite(value) && value >= 0;
-
 /** Whether a value from a peer is a statement about a limit. */
 export function isLimitStatement(value: unknown): value is LimitStatement {
   const { upstream, startedAt, perSecond, ageMs } = (value ?? {}) as Partial<LimitStatement>;
   return (
     typeof upstream === 'string' &&
     typeof startedAt === 'number' &&
-    (perSecond === null || isNumber(perSecond)) &&
-    isNumber(ageMs)
+    (perSecond === null || isNonNegative(perSecond)) &&
+    isNonNegative(ageMs)
   );
 }
 
--- a/packages/serving/src/unavailable-upstreams.ts
+++ b/packages/serving/src/unavailable-upstreams.ts
@@ -5,6 +5,7 @@
  */
 import { monotonicMs } from '@hibiscusbank/core';
 import type { Telemetry } from '@hibiscusbank/core';
+import { isNonNegative } from './message-values.js';
 import type { ServingUpstream, UpstreamStatement } from './types.js';
 
 /** Time for which a leaving upstream is remembered after it last said so. */
@@ -58,13 +59,7 @@
 
 function isLeavingUpstream(value: unknown): value is LeavingUpstream {
   const { upstream, startedAt, ageMs } = (value ?? {}) as Partial<LeavingUpstream>;
-  return (
-    typeof upstream === 'string' &&
-    typeof startedAt === 'number' &&
-    typeof ageMs === 'number' &&
-    Number.isFinite(ageMs) &&
-    ageMs >= 0
-  );
+  return typeof upstream === 'string' && typeof startedAt === 'number' && isNonNegative(ageMs);
 }
 
 export function isLeavingNotice(message: unknown): message is LeavingNotice {
