--- a/packages/core/src/events.ts
+++ b/packages/core/src/events.ts
@@ -149,7 +149,7 @@
   permitRefused: defineEvent(
     1833,
     'info',
-    'request refused; all its upstreams limit their requests',
+    'request refused; all its upstreams limit their requests or pause',
   ),
   upstreamLeaving: defineEvent(1834, 'info', 'upstream states that it leaves'),
   upstreamPaused: defineEvent(1835, 'info', 'upstream wants no requests of this node for a while'),
--- a/packages/serving/src/choose-plain.ts
+++ b/packages/serving/src/choose-plain.ts
@@ -69,7 +69,9 @@
   if (earliest === undefined) {
     const left = directory.usable(pool.id).filter(({ id }) => !excluded.has(id));
     const retryAfterMs = context.unavailable.returnMs(left);
-    return retryAfterMs > 0 ? { kind: 'limited', retryAfterMs } : { kind: 'none' };
+    if (retryAfterMs === 0) return { kind: 'none' };
+    telemetry.log('permitRefused', { request: req.id, reason: 'paused', retryAfterMs });
+    return { kind: 'limited', retryAfterMs };
   }
   const { upstream } = earliest;
   const last = await permits.acquire(upstream, ask);
@@ -81,6 +83,7 @@
   telemetry.log('permitRefused', {
     request: req.id,
     upstream: upstream.id,
+    reason: 'limited',
     retryAfterMs: last.waitMs,
   });
   return { kind: 'limited', retryAfterMs: last.waitMs };
--- a/packages/serving/src/serve-stream.ts
+++ b/packages/serving/src/serve-stream.ts
@@ -68,7 +68,9 @@
   const queue = context.queueFor(pool.id);
   const limitedWaitMs = estimateLimitedWaitMs(context, pool.id, queue.size());
   if (limitedWaitMs > plan.maxWaitMs && !state.progress.hasEvents) {
-    return Promise.resolve(err(describeLimited(limitedWaitMs)));
+    const retryAfterMs = Math.round(limitedWaitMs);
+    context.telemetry.log('permitRefused', { request: req.id, retryAfterMs });
+    return Promise.resolve(err(describeLimited(retryAfterMs)));
   }
   return queue.wait({
     organisation: organisation?.id ?? '',
