--- a/packages/serving/src/choose-plain.ts
+++ b/packages/serving/src/choose-plain.ts
@@ -25,11 +25,6 @@
   /** All upstreams limit their requests or pause; the next place is free after `retryAfterMs`. */
   | { readonly kind: 'limited'; readonly retryAfterMs: number };
 
-interface Refusal {
-  readonly upstream: KnownUpstream;
-  readonly waitMs: number;
-}
-
 /** Chooses an upstream that is not in `excluded`. */
 export async function choosePlain(
   context: ServingContext,
@@ -45,7 +40,8 @@
     onTargetMs: Math.max(0, route.targetMs - responseMs - passedMs),
     maxWaitMs: Math.max(0, remainingMs(admitted) - responseMs),
   };
-  const refusedBy = new Map<UpstreamId, Refusal>();
+  /** Waits that the upstreams' granters stated, by upstream. */
+  const statedWaits = new Map<UpstreamId, number>();
   const rank = (without: ReadonlySet<UpstreamId>, maxWaitMs: number): readonly KnownUpstream[] =>
     rankPlain(
       directory.usable(pool.id),
@@ -53,15 +49,15 @@
     );
 
   while (!signal.aborted) {
-    const [upstream, alternative] = rank(new Set([...excluded, ...refusedBy.keys()]), 0);
+    const [upstream, alternative] = rank(new Set([...excluded, ...statedWaits.keys()]), 0);
     if (upstream === undefined) break;
     const { isGranted, waitMs } = await permits.acquire(upstream, createPermitAsk(admitted));
     if (isGranted) return { kind: 'chosen', upstream, alternative };
-    refusedBy.set(upstream.id, { upstream, waitMs });
+    statedWaits.set(upstream.id, waitMs);
   }
   const waits = rank(excluded, Infinity).map((upstream) => ({
     upstream,
-    waitMs: refusedBy.get(upstream.id)?.waitMs ?? permits.nextPermitMs(upstream),
+    waitMs: statedWaits.get(upstream.id) ?? permits.nextPermitMs(upstream),
   }));
   waits.sort((a, b) => a.waitMs - b.waitMs);
   const [earliest] = waits;
