Do not take the first answer after a failed call for a restoration

A call without an answer, or an answer without an era, recorded the era 0, so the first answer with an era counted as a restoration: orders to engines paused for 15 s after a start beside an outage, and event 1607 was logged.

--- a/packages/serving/src/entry-feed.ts
+++ b/packages/serving/src/entry-feed.ts
@@ -196,7 +196,7 @@
    * `undefined` for a list that is not newer.
    */
   const replace = (list: EntryList): readonly EntryChange[] | undefined => {
-    if (!era.observe(list.era) || comparePositions(list, position) <= 0) return undefined;
+    if (comparePositions(list, position) <= 0 || !era.observe(list.era)) return undefined;
     const isFirst = position.revision === 0;
     if (!isFirst && list.era !== position.era) {
       beginEra(list);
