Tell a refusal that asks for a pause from other refusals

Whether a failed send counts against its upstream was decided by looking up afterwards whether the upstream is paused or leaving, so other failures of such an upstream were not counted, and a paused decode engine was taken for one that could not fetch the prompt: the prefill engine was avoided and its work dropped.

Change: the transport reports such a refusal with a reason of its own.

The test that no failure is counted looked for a text that no event has and could not fail; it is replaced by one that does on the code before, and that sees the other refusals counted.

--- a/packages/serving/src/prefill-prompt.ts
+++ b/packages/serving/src/prefill-prompt.ts
@@ -101,7 +101,7 @@
       return { kind: 'prefilled', handle: result.value };
     }
     if (signal.aborted) return { kind: 'not_prefilled' };
-    if (context.unavailable.find(upstream) === undefined)
+    if (result.error.reason !== 'paused')
       health.recordFailure(upstream, gotNoResponse(result.error) ? 'no_response' : 'answered');
     failed.add(upstream.id);
     if (result.error.reason === 'moved') context.moved.record(upstream);
--- a/packages/serving/src/serve-plain.ts
+++ b/packages/serving/src/serve-plain.ts
@@ -70,9 +70,8 @@
   release();
   if (sent.isErr()) {
     const hasRequestEnded = sent.error.reason === 'aborted' && !limit.isExpired();
-    // A refusal that asks for a pause is no failure of the upstream.
-    const isPause = context.unavailable.find(upstream) !== undefined;
-    if (!hasRequestEnded && !isPause && sent.error.reason !== 'moved') {
+    const isHealthy = sent.error.reason === 'moved' || sent.error.reason === 'paused';
+    if (!hasRequestEnded && !isHealthy) {
       health.recordFailure(upstream, gotNoResponse(sent.error) ? 'no_response' : 'answered');
     }
     return err(sent.error);
--- a/packages/serving/src/types.ts
+++ b/packages/serving/src/types.ts
@@ -195,11 +195,12 @@
   /** Whether any part of the request may have reached the upstream. */
   readonly wasSent: boolean;
   /**
-   * `refused`: the upstream did not run the request; `moved`: another server has the address;
-   * `broken`: the connection closed or the response is invalid; `mismatch`: the response belongs to
+   * `refused`: the upstream did not run the request; `paused`: it did not either, and wants none for
+   * a while; `moved`: another server has the address; `broken`: the connection closed or the response is invalid; `mismatch`: the response belongs to
    * another request.
    */
-  readonly reason: 'refused' | 'moved' | 'unreachable' | 'broken' | 'mismatch' | 'aborted';
+  readonly reason:
+    'refused' | 'paused' | 'moved' | 'unreachable' | 'broken' | 'mismatch' | 'aborted';
 }
 
 /** A response whose status and headers have arrived. The body is delivered to one listener. */
--- a/packages/serving/test/unavailable-upstreams.test.ts
+++ b/packages/serving/test/unavailable-upstreams.test.ts
@@ -132,7 +132,7 @@
   expect(transport.sends.filter((send) => send.upstream.id === 'u1').length).toBeLessThanOrEqual(1);
 });
 
-test('an upstream that asks for a pause gets nothing in it, and no failure is counted for it', async () => {
+test('an upstream that asks for a pause gets nothing in it', async () => {
   const transport = createFakeTransport();
   transport.reply = async ({ upstream: asked }) => {
     if (asked.id !== 'u1') return ok(createReply(['done']));
@@ -143,7 +143,41 @@
   for (let count = 0; count < 20; count += 1)
     expect((await call(started, '/book/1')).status).toBe(200);
   expect(transport.sends.filter((send) => send.upstream.id === 'u1').length).toBeLessThanOrEqual(1);
-  expect(started.events.some((line) => line.includes('upstream failing'))).toBe(false);
+});
+
+// An upstream that asks for pauses would be avoided for much longer than it asks for.
+test('refusals that ask for a pause do not count as failures of the upstream', async () => {
+  const countAvoided = async (reason: SendFailure['reason']): Promise<number> => {
+    const transport = createFakeTransport();
+    transport.reply = async () => err({ ...refused, reason });
+    const started = await startPlainPool(transport, ['u1']);
+    for (let count = 0; count < 20; count += 1) await call(started, '/book/1');
+    return started.events.filter((line) => line.includes('upstream avoided after failures')).length;
+  };
+  expect(await countAvoided('refused')).toBeGreaterThan(0);
+  expect(await countAvoided('paused')).toBe(0);
+});
+
+// The prefill engine would be avoided for the pause of a decode engine, and its work thrown away.
+test('a decode engine that asks for a pause leaves the prefilled prompt for the next one', async () => {
+  const transport = createFakeTransport();
+  const stores = createTestStores();
+  for (const name of ['d1', 'd2'])
+    stores.upstreams.put(name, createUpstream(name, { pool: enginePool, role: 'decode' }));
+  stores.upstreams.put('p1', createUpstream('p1', { pool: enginePool, role: 'prefill' }));
+  transport.reply = async ({ upstream: asked }) => {
+    if (transport.sends.length > 1) return ok(createReply(['id: 1\ndata: x\n\n']));
+    transport.state(asked, createStatement({ pauseMs: 60_000 }));
+    return err({ ...refused, reason: 'paused' });
+  };
+  const started = await startTestNode(stores, transport);
+  await waitUntilReady(started);
+  const headers = { authorization: 'Bearer key-1', 'x-usage': '100,100' };
+  const res = await fetch(`${started.url}/note/1`, { method: 'POST', headers, body: 'x' });
+  expect(res.status).toBe(200);
+  await res.text();
+  expect(transport.prefills).toHaveLength(1);
+  expect(transport.sends.map(({ kvSource }) => kvSource?.handle)).toEqual(['handle', 'handle']);
 });
 
 test('while all upstreams pause, a request is rejected at once with the time until the first returns', async () => {
