--- a/review/lib/site.mjs
+++ b/review/lib/site.mjs
@@ -164,6 +164,10 @@
   const hosts = zones.map((_, index) => `127.0.0.${index + 2}`);
   const [front, ready, peer] = await findFreePorts(hosts, 3);
   const children = new Set();
+  // Also when the case ends before `stop` could be called.
+  process.once('exit', () => {
+    for (const child of children) child.kill('SIGKILL');
+  });
 
   const machines = zones.map((zone, index) => {
     const ip = hosts[index];
