Refuse what cannot end before a draining node stops

Cause: nothing compared the time that a request takes with the time left, neither when it was admitted nor while it waited for an engine. A second call of `drain` returned at once, and the process ended.

Change: a draining node estimates how long a request takes from the complete runs of its pool, and decides with the readiness of its neighbours whether it ends here or is refused (503, connection closed, Retry-After until another node takes requests). Waiting streams are refused once they could no longer end; plain requests that still run at the end get 504. Further drains join the first.

--- a/packages/core/src/events.ts
+++ b/packages/core/src/events.ts
@@ -153,6 +153,11 @@
   ),
   upstreamLeaving: defineEvent(1834, 'info', 'upstream states that it leaves'),
   upstreamPaused: defineEvent(1835, 'info', 'upstream wants no requests of this node for a while'),
+  drainRefused: defineEvent(
+    1836,
+    'info',
+    'request refused; it could not end before the node stops',
+  ),
   settingsReloaded: defineEvent(1816, 'info', 'settings reloaded'),
 
   invariantViolated: defineEvent(1901, 'error', 'invariant violated'),
--- a/packages/serving/src/context.ts
+++ b/packages/serving/src/context.ts
@@ -11,6 +11,9 @@
 import type { ColdLimit } from './cold-limit.js';
 import type { CrashProtection } from './crash-protection.js';
 import type { Directory, KnownUpstream } from './directory.js';
+import { computeNeededShare, mayTakeUnknown } from './drain-admission.js';
+import type { DrainView } from './drain-admission.js';
+import type { DrainTime } from './drain-time.js';
 import type { EnginePace } from './engine-pace.js';
 import type { EngineQueue } from './engine-queue.js';
 import type { MovedUpstreams } from './moved-upstreams.js';
@@ -22,6 +25,7 @@
 import type { PrefillWork } from './prefill-work.js';
 import type { RequestLimits } from './request-limits.js';
 import type { RetryBudget } from './retry-budget.js';
+import type { ExpectedOutput, RunDurations } from './run-durations.js';
 import type {
   ServingOrganisation,
   ServingPool,
@@ -33,6 +37,9 @@
 import type { UpstreamHealth } from './upstream-health.js';
 import type { UpstreamLoads } from './upstream-loads.js';
 
+/** Time of a response of a plain upstream in targets of its route, while none is known. */
+const UNKNOWN_RUN_TARGETS = 4;
+
 export interface ServingContext {
   readonly dataCentre: DataCentreId;
   readonly directory: Directory;
@@ -54,6 +61,11 @@
   readonly loads: UpstreamLoads;
   /** Prompts in progress at prefill engines. */
   readonly prefillLoads: UpstreamLoads;
+  /** Time that is left of this node's drain. */
+  readonly drain: Pick<DrainTime, 'isDraining' | 'leftMs' | 'onTooLate'>;
+  readonly drainView: () => DrainView;
+  /** How long recent runs took. */
+  readonly durations: RunDurations;
   readonly queueFor: (pool: PoolId) => EngineQueue<EngineReservation>;
   readonly prefillWork: Pick<PrefillWork, 'record'>;
   readonly prefillRate: PrefillRate;
@@ -103,6 +115,32 @@
   return Math.max(1, Math.floor(deadlineAt - monotonicMs()));
 }
 
+/** Returns what is known of the output of a request before it runs. */
+export function readExpectedOutput({ pool, req, route }: AdmittedRequest): ExpectedOutput {
+  const { usage } = req;
+  const maxTokens = usage?.maxOutputTokens ?? 0;
+  const expectedTokens = Math.min(maxTokens, usage?.expectedOutputTokens ?? maxTokens);
+  const isStream = pool.engine !== undefined && route.kind === 'stream';
+  const maxEvents = isStream ? Math.ceil(maxTokens / pool.engine.tokensPerEvent) : 0;
+  return { maxTokens, expectedTokens, maxEvents };
+}
+
+/**
+ * Returns the milliseconds that a draining node must have left to take a request, at most the time that
+ * the request may last. While no run of its pool is known, a stream can last that long, and other
+ * responses follow the target of their route.
+ */
+export function computeNeededMs(context: ServingContext, admitted: AdmittedRequest): number {
+  const { pool, route } = admitted;
+  const limitMs = remainingMs(admitted);
+  const view = context.drainView();
+  const share = computeNeededShare(view);
+  const runMs = context.durations.estimateMs(pool.id, readExpectedOutput(admitted), share);
+  if (runMs !== undefined) return Math.min(limitMs, runMs);
+  if (route.kind !== 'stream') return Math.min(limitMs, route.targetMs * UNKNOWN_RUN_TARGETS);
+  return mayTakeUnknown(view) ? 0 : limitMs;
+}
+
 /** Returns the ask for a permit of a request that cannot wait for it. */
 export function createPermitAsk(admitted: AdmittedRequest): PermitAsk {
   return {
--- a/packages/serving/src/failures.ts
+++ b/packages/serving/src/failures.ts
@@ -1,6 +1,8 @@
 /** Errors for requests that ended without a response from an upstream. */
 import { createError } from '@hibiscusbank/core';
 import type { Effect, RouterError } from '@hibiscusbank/core';
+import { computeDrainRetryMs } from './drain-admission.js';
+import type { DrainView } from './drain-admission.js';
 import type { QuarantinedPart } from './part-quarantine.js';
 import type { SendFailure } from './types.js';
 
@@ -27,6 +29,14 @@
   });
 }
 
+/** Returns the error for a request that could not end before this node stops. */
+export function describeDraining(view: DrainView): RouterError {
+  return createError('not_ready', 'the node is stopping; send the request to another node', {
+    effect: 'not_run',
+    retryAfterMs: computeDrainRetryMs(view),
+  });
+}
+
 /** Converts a failed attempt to an error that claims no more about its effect than is known. */
 export function describeFailure(failure: SendFailure, retryAfterMs: number): ServingFailure {
   if (failure.effect === 'not_run') {
--- /dev/null
+++ b/packages/serving/src/node-servers.ts
@@ -0,0 +1,53 @@
+/** Creates the HTTP servers of a node: for callers, for readiness checks and for peers. */
+import type { Telemetry } from '@hibiscusbank/core';
+import { createHttpServer } from '@hibiscusbank/gateway';
+import type { HttpServer } from '@hibiscusbank/gateway';
+import type { HttpBindings } from '@hono/node-server';
+import { RESPONSE_ALREADY_SENT } from '@hono/node-server/utils/response';
+import { Hono } from 'hono';
+import { createReadinessApp } from './readiness-app.js';
+import type { ServingGateway } from './serving-gateway.js';
+import type { ServingNodeOptions } from './serving-node-options.js';
+
+/**
+ * Margin by which connections stay open beyond the idle limit that callers observe, so that callers
+ * close them first.
+ */
+const IDLE_MARGIN_MS = 1_000;
+
+export interface NodeServersOptions {
+  readonly addresses: Pick<ServingNodeOptions, 'callers' | 'readiness' | 'peers'>;
+  readonly gateway: Pick<ServingGateway, 'serve'>;
+  /** Returns the idle limit that callers observe. */
+  readonly idleTimeoutMs: () => number;
+  readonly isReady: () => boolean;
+  /** Handlers of what peers ask for. */
+  readonly peerApps: readonly Hono[];
+  readonly telemetry: Telemetry;
+}
+
+export interface NodeServers {
+  readonly callers: HttpServer;
+  readonly readiness: HttpServer;
+  readonly peers: HttpServer;
+}
+
+/** Creates the servers, which listen after they were started. */
+export function createNodeServers(options: NodeServersOptions): NodeServers {
+  const { addresses, gateway, idleTimeoutMs, isReady, telemetry } = options;
+  const callerApp = new Hono<{ Bindings: HttpBindings }>();
+  callerApp.all('*', async (c) => {
+    await gateway.serve(c.env);
+    return RESPONSE_ALREADY_SENT;
+  });
+  const readinessApp = createReadinessApp({ path: addresses.readiness.path, isReady, telemetry });
+  const peerApp = new Hono();
+  for (const app of options.peerApps) peerApp.route('/', app);
+  return {
+    callers: createHttpServer(callerApp.fetch, addresses.callers, {
+      idleTimeoutMs: () => idleTimeoutMs() + IDLE_MARGIN_MS,
+    }),
+    readiness: createHttpServer(readinessApp.fetch, addresses.readiness),
+    peers: createHttpServer(peerApp.fetch, addresses.peers),
+  };
+}
--- a/packages/serving/src/peer-reports.ts
+++ b/packages/serving/src/peer-reports.ts
@@ -1,5 +1,6 @@
 /** Periodic reports between nodes: load, quota spending and configuration state. */
 import type { Telemetry } from '@hibiscusbank/core';
+import type { NodeAvailability } from './drain-admission.js';
 import type { LivePeers } from './live-peers.js';
 import { isPort } from './message-values.js';
 import type { QuarantinedPart } from './part-quarantine.js';
@@ -51,7 +52,7 @@
 /** Previous roles of the engines that a node ordered to change role, by engine id. */
 export type RoleChanges = Readonly<Record<string, EngineRole>>;
 
-export interface PeerReport extends KnownPeer {
+export interface PeerReport extends KnownPeer, Partial<NodeAvailability> {
   /** Start of the process in Unix milliseconds. */
   readonly startedAt: number;
   /** Increases with each report, so that reordered reports are dropped. */
@@ -79,6 +80,8 @@
 export type LocalState = Pick<
   PeerReport,
   | 'isConnected'
+  | 'isReady'
+  | 'returnsInMs'
   | 'decode'
   | 'prefill'
   | 'spent'
--- a/packages/serving/src/relay-events.ts
+++ b/packages/serving/src/relay-events.ts
@@ -10,6 +10,7 @@
   hasEvents: boolean;
   /** Number of blocks of events. */
   blocks: number;
+  firstEventAt: number;
   lastEventAt: number;
 }
 
@@ -38,10 +39,13 @@
     }
     if (block === undefined) return;
     progress.lastId = block.lastId ?? progress.lastId;
-    if (!progress.hasEvents) onFirstEvent();
+    const now = monotonicMs();
+    if (!progress.hasEvents) {
+      progress.firstEventAt = now;
+      onFirstEvent();
+    }
     progress.hasEvents = true;
     progress.blocks += 1;
-    const now = monotonicMs();
     if (previousAt !== undefined) onPause(now - previousAt);
     previousAt = now;
     progress.lastEventAt = now;
--- a/packages/serving/src/serve-plain.ts
+++ b/packages/serving/src/serve-plain.ts
@@ -119,16 +119,25 @@
     const limitMs = mayRetryElsewhere ? route.targetMs * RETRY_TARGET_SHARE : remainingMs(admitted);
     const startedAt = monotonicMs();
     const result = await sendOnce(context, admitted, upstream, limitMs);
+    const ms = monotonicMs() - startedAt;
     telemetry.log('upstreamAnswered', {
       request: req.id,
       upstream: upstream.id,
       status: result.isOk() ? result.value.reply.status : undefined,
       failure: result.isErr() ? result.error.reason : undefined,
-      ms: Math.round(monotonicMs() - startedAt),
+      ms: Math.round(ms),
     });
     excluded.add(upstream.id);
     if (result.isOk()) {
       lastResponse = result.value;
+      context.durations.record(pool.id, {
+        firstMs: ms,
+        restMs: 0,
+        reads: 0,
+        maxTokens: 0,
+        maxEvents: 0,
+        expectedTokens: 0,
+      });
       lastFailure = { effect: 'unknown', wasSent: true, reason: 'broken' };
       runs += 1;
       if (!isUpstreamError(lastResponse) || !mayRetry || runs >= route.maxAttempts) break;
--- a/packages/serving/src/serve-stream.ts
+++ b/packages/serving/src/serve-stream.ts
@@ -1,22 +1,19 @@
 /** Serves streaming requests to model engines: reservation, prefill, decode, relay. */
 import { monotonicMs } from '@hibiscusbank/core';
-import type { RouterError, UpstreamId } from '@hibiscusbank/core';
-import { err } from 'neverthrow';
-import type { Result } from 'neverthrow';
+import type { UpstreamId } from '@hibiscusbank/core';
 import { sendBuffered, sendError, startResponse } from './responses.js';
-import { organisationOf, remainingMs } from './context.js';
+import { organisationOf, readExpectedOutput, remainingMs } from './context.js';
 import type { AdmittedRequest, EngineReservation, ServingContext } from './context.js';
-import { describeBlocked, describeFailure, describeLimited, describeTimeout } from './failures.js';
+import { describeBlocked, describeFailure, describeTimeout } from './failures.js';
 import type { ServingFailure } from './failures.js';
 import { readFullBody } from './http-exchange.js';
 import { prefillPrompt } from './prefill-prompt.js';
 import type { PrefillOutcome } from './prefill-prompt.js';
 import { relayEvents } from './relay-events.js';
-import type { StreamProgress } from './relay-events.js';
-import { estimateLimitedWaitMs, reservationTokens, reserveEngine } from './reserve-engine.js';
+import type { StreamState } from './stream-state.js';
 import { startTimeLimit } from './time-limit.js';
 import type { EngineSettings, KvHandle, SendFailure, UpstreamReply } from './types.js';
-import { planWait } from './wait-plan.js';
+import { waitForReservation } from './wait-for-reservation.js';
 import { watchStall } from './watch-stall.js';
 
 /** Maximum number of sends of one request, including those that the upstream refuses. */
@@ -28,65 +25,12 @@
 
 const EVENT_STREAM_TYPE = 'text/event-stream';
 
-interface StreamState {
-  readonly admitted: AdmittedRequest;
-  readonly engineSettings: EngineSettings;
-  readonly progress: StreamProgress;
-  readonly failedPrefill: Set<UpstreamId>;
-  readonly failedDecode: Set<UpstreamId>;
-  /** The handle of a prefilled KV cache that no engine has fetched. */
-  unfetchedKv: { readonly handle: KvHandle; readonly until: number } | undefined;
-  /**
-   * Whether a prefill engine has prefilled the prompt; prefilling it again uses the retry budget.
-   */
-  wasPrefilled: boolean;
-  /** Number of sends that an engine may have run. */
-  runs: number;
-  effect: 'not_run' | 'unknown';
-}
-
 type RunOutcome =
   | { readonly kind: 'answered' }
   | { readonly kind: 'failed'; readonly failure: SendFailure }
   /** The request was not sent, since it had ended or the engine had become unusable. */
   | { readonly kind: 'not_sent' };
 
-function waitForReservation(
-  context: ServingContext,
-  state: StreamState,
-): Promise<Result<EngineReservation, RouterError>> {
-  const { admitted, engineSettings, failedDecode } = state;
-  const { req, pool, organisation, signal } = admitted;
-  const usage = req.usage ?? { promptTokens: 0, maxOutputTokens: 0, expectedOutputTokens: 0 };
-  const tokens = reservationTokens(usage);
-  const plan = planWait({
-    targetMs: admitted.route.targetMs,
-    elapsedMs: monotonicMs() - admitted.startedAt,
-    remainingMs: remainingMs(admitted),
-    hasEvents: state.progress.hasEvents,
-  });
-  const queue = context.queueFor(pool.id);
-  const limitedWaitMs = estimateLimitedWaitMs(context, pool.id, queue.size());
-  if (limitedWaitMs > plan.maxWaitMs && !state.progress.hasEvents) {
-    const retryAfterMs = Math.round(limitedWaitMs);
-    context.telemetry.log('permitRefused', { request: req.id, retryAfterMs });
-    return Promise.resolve(err(describeLimited(retryAfterMs)));
-  }
-  return queue.wait({
-    organisation: organisation?.id ?? '',
-    cost: tokens,
-    onTargetMs: plan.onTargetMs,
-    maxWaitMs: plan.maxWaitMs,
-    signal,
-    reserve: (missedTarget) =>
-      reserveEngine(context, admitted, engineSettings, tokens, failedDecode, missedTarget),
-    release: (reservation) => {
-      reservation.release();
-      context.transport.dropReservation(reservation.upstream, reservation.id);
-    },
-  });
-}
-
 function isEventStream({ headers }: UpstreamReply): boolean {
   const type = headers['content-type'];
   return type === undefined || String(type).startsWith(EVENT_STREAM_TYPE);
@@ -283,6 +227,21 @@
   return failure;
 }
 
+/** Records how long a complete stream took, unless several runs contributed to it. */
+function recordDuration(
+  { durations }: ServingContext,
+  { admitted, progress, runs }: StreamState,
+  runStartedAt: number,
+): void {
+  if (runs > 0 || !progress.hasEvents) return;
+  durations.record(admitted.pool.id, {
+    firstMs: progress.firstEventAt - runStartedAt,
+    restMs: progress.lastEventAt - progress.firstEventAt,
+    reads: progress.blocks,
+    ...readExpectedOutput(admitted),
+  });
+}
+
 /** Serves one admitted stream to its end. Resolves to the failure, if any. */
 export async function serveStream(
   context: ServingContext,
@@ -293,7 +252,7 @@
   const state: StreamState = {
     admitted,
     engineSettings,
-    progress: { lastId: undefined, hasEvents: false, blocks: 0, lastEventAt: 0 },
+    progress: { lastId: undefined, hasEvents: false, blocks: 0, firstEventAt: 0, lastEventAt: 0 },
     failedPrefill: new Set(),
     failedDecode: new Set(),
     unfetchedKv: undefined,
@@ -317,10 +276,14 @@
       });
     }
     const reservation = reserved.value;
+    const runStartedAt = monotonicMs();
     const outcome = await runOnce(context, state, reservation);
     reservation.release();
     context.queueFor(admitted.pool.id).notifyFreeMemory();
-    if (outcome.kind === 'answered') return undefined;
+    if (outcome.kind === 'answered') {
+      recordDuration(context, state, runStartedAt);
+      return undefined;
+    }
     if (outcome.kind === 'not_sent') continue;
     lastFailure = outcome.failure;
     context.telemetry.log('runFailed', {
--- a/packages/serving/src/serving-gateway.ts
+++ b/packages/serving/src/serving-gateway.ts
@@ -5,8 +5,9 @@
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import { hasFreeCapacity } from './free-capacity.js';
-import { describeQuarantine } from './failures.js';
+import { describeDraining, describeQuarantine } from './failures.js';
 import { sendError } from './responses.js';
+import { computeNeededMs } from './context.js';
 import type { AdmittedRequest, HttpExchange, ServingContext } from './context.js';
 import { servePlain } from './serve-plain.js';
 import { serveStream } from './serve-stream.js';
@@ -30,8 +31,8 @@
   /** Serves one request to the end of its response. Never rejects. */
   serve(exchange: HttpExchange): Promise<void>;
   activeRequests(): number;
-  /** Sends `Connection: close` with all further responses. */
-  beginDrain(): void;
+  /** Ends all requests with the response that fits what is known of them. */
+  endRequests(): void;
 }
 
 interface AuthorisedRoute {
@@ -71,9 +72,9 @@
   context,
   readRequest,
 }: ServingGatewayOptions): ServingGateway {
-  const { directory, quota, retryBudget, telemetry } = context;
+  const { directory, drain, quota, retryBudget, telemetry } = context;
+  const running = new Set<AbortController>();
   let active = 0;
-  let draining = false;
 
   const authorise = (req: ServingRequest): Result<AuthorisedRoute, RouterError> => {
     const notRun = { effect: 'not_run' } as const;
@@ -155,6 +156,20 @@
     });
   };
 
+  /** Whether a request would probably still run when this node stops, and so be cut off. */
+  const cannotEnd = (admitted: AdmittedRequest): boolean => {
+    if (!drain.isDraining()) return false;
+    const leftMs = Math.round(drain.leftMs());
+    const neededMs = Math.round(computeNeededMs(context, admitted));
+    if (neededMs <= leftMs) return false;
+    telemetry.log('drainRefused', {
+      request: admitted.req.id,
+      leftMs,
+      neededMs,
+    });
+    return true;
+  };
+
   const serveAdmitted = async (
     exchange: HttpExchange,
     req: ServingRequest,
@@ -163,6 +178,26 @@
     startedAt: number,
   ): Promise<void> => {
     const { outgoing } = exchange;
+    const { route } = authorised;
+    const limitMs = Math.min(route.timeLimitMs, req.maxWaitMs ?? route.timeLimitMs);
+    const controller = new AbortController();
+    const admitted: AdmittedRequest = {
+      ...authorised,
+      req,
+      body,
+      startedAt,
+      deadlineAt: startedAt + limitMs,
+      signal: controller.signal,
+      outgoing,
+    };
+    const refuse = (error: RouterError): void => {
+      sendError(outgoing, error, 'not_run');
+      logEnd(req, authorised, startedAt, outgoing.statusCode, { error, effect: 'not_run' });
+    };
+    if (cannotEnd(admitted)) {
+      refuse(describeDraining(context.drainView()));
+      return;
+    }
     const charged = debit(authorised, req);
     if (charged.isErr()) {
       telemetry.log('debitRefused', {
@@ -170,31 +205,18 @@
         organisation: authorised.organisation?.id,
         retryAfterMs: Math.round(charged.error.retryAfterMs ?? 0),
       });
-      sendError(outgoing, charged.error, 'not_run');
-      logEnd(req, authorised, startedAt, outgoing.statusCode, {
-        error: charged.error,
-        effect: 'not_run',
-      });
+      refuse(charged.error);
       return;
     }
-    const { route } = authorised;
-    const limitMs = Math.min(route.timeLimitMs, req.maxWaitMs ?? route.timeLimitMs);
-    const controller = new AbortController();
+    running.add(controller);
     const abort = (): void => controller.abort();
     const timer = setTimeout(abort, Math.max(0, startedAt + limitMs - monotonicMs()));
     const onClose = (): void => {
       if (!outgoing.writableFinished) abort();
     };
     outgoing.on('close', onClose);
-    const failure = await run({
-      ...authorised,
-      req,
-      body,
-      startedAt,
-      deadlineAt: startedAt + limitMs,
-      signal: controller.signal,
-      outgoing,
-    });
+    const failure = await run(admitted);
+    running.delete(controller);
     clearTimeout(timer);
     outgoing.off('close', onClose);
     const { organisation } = authorised;
@@ -243,12 +265,11 @@
 
   return {
     activeRequests: () => active,
-    beginDrain: () => {
-      draining = true;
-    },
+    endRequests: () => running.forEach((controller) => controller.abort()),
     serve: async (exchange) => {
       const { incoming, outgoing } = exchange;
-      if (draining) outgoing.setHeader('connection', 'close');
+      // A connection that stays open could bring a request that the process cannot finish.
+      if (drain.isDraining()) outgoing.setHeader('connection', 'close');
       if (incoming.socket.writableEnded) {
         // The request arrived while its connection was being closed and cannot be answered.
         incoming.socket.destroy();
@@ -266,7 +287,7 @@
         );
       } finally {
         active -= 1;
-        if (draining) closeAfterResponse(exchange);
+        if (drain.isDraining()) closeAfterResponse(exchange);
       }
     },
   };
--- a/packages/serving/src/serving-node.ts
+++ b/packages/serving/src/serving-node.ts
@@ -1,12 +1,7 @@
 /** Assembles a node that serves requests on the platform. */
-import { dataCentreId, monotonicMs, sleep } from '@hibiscusbank/core';
+import { dataCentreId, monotonicMs } from '@hibiscusbank/core';
 import type { UpstreamId } from '@hibiscusbank/core';
-import { createHttpServer } from '@hibiscusbank/gateway';
-import type { HttpServer } from '@hibiscusbank/gateway';
 import { createLease } from '@hibiscusbank/object-api';
-import type { HttpBindings } from '@hono/node-server';
-import { RESPONSE_ALREADY_SENT } from '@hono/node-server/utils/response';
-import { Hono } from 'hono';
 import { createChangeNotices, isChangeNotice } from './change-notices.js';
 import { createChangingRoles } from './changing-roles.js';
 import { createColdLimit } from './cold-limit.js';
@@ -14,12 +9,16 @@
 import { createCrashProtection } from './crash-protection.js';
 import { computeReachableShare, createDataCentreContact } from './data-centre-contact.js';
 import { createDirectory } from './directory.js';
+import { computeReturnMs } from './drain-admission.js';
+import { createDrainTime } from './drain-time.js';
 import { createEnginePace } from './engine-pace.js';
 import { createEngineQueues } from './engine-queues.js';
+import { finishRequests } from './finish-requests.js';
 import { createLivePeers, mergePeers } from './live-peers.js';
 import { createLeaseHistory, createLeaseObjects } from './lease-objects.js';
 import { createMovedUpstreams } from './moved-upstreams.js';
 import { createNodeRegistry } from './node-registry.js';
+import { createNodeServers } from './node-servers.js';
 import { createOrganisationQuota } from './organisation-quota.js';
 import { createPeerDatagrams } from './peer-datagrams.js';
 import { createPeerLists } from './peer-lists.js';
@@ -32,10 +31,10 @@
 import type { KnownPeer } from './peer-reports.js';
 import { createPrefillRate } from './prefill-rate.js';
 import { createPrefillWork } from './prefill-work.js';
-import { createReadinessApp } from './readiness-app.js';
 import { createRequestLimits } from './request-limits.js';
 import { createRetryBudget } from './retry-budget.js';
 import { createRoleOrders } from './role-orders.js';
+import { createRunDurations } from './run-durations.js';
 import { createServingGateway } from './serving-gateway.js';
 import type { ServingNodeOptions } from './serving-node-options.js';
 import { stopListening } from './stop-listening.js';
@@ -47,20 +46,17 @@
 
 export interface ServingNode {
   start(): Promise<void>;
-  /** Reports not ready, then closes the listener, waits for active requests, and stops. */
+  /**
+   * Reports not ready, refuses what cannot end in time, closes the listener, waits for active requests,
+   * and stops. Further calls return the same drain.
+   */
   drain(): Promise<void>;
 }
 
 /** Margin by which the process stops before its forced end. */
 const GRACE_MARGIN_MS = 500;
-const DRAIN_POLL_MS = 25;
 /** Retry delay for callers whose request found no free memory in time. */
 const QUEUE_RETRY_AFTER_MS = 3_000;
-/**
- * Margin by which connections stay open beyond the idle limit that callers observe, so that callers
- * close them first.
- */
-const IDLE_MARGIN_MS = 1_000;
 const DEFAULT_IDLE_MS = 20_000;
 
 /** Creates a node; nothing runs before `start`. */
@@ -75,8 +71,10 @@
   const pace = createEnginePace();
   const directory = createDirectory(options.decoders, telemetry);
   const livePeers = createLivePeers();
+  const drainTime = createDrainTime();
   const changing = createChangingRoles(livePeers.reports);
-  let draining = false;
+  const isReady = (): boolean => directory.isComplete() && !drainTime.isDraining();
+  let drained: Promise<void> | undefined;
 
   const self: KnownPeer = {
     node: options.name,
@@ -190,6 +188,8 @@
     telemetry,
     readLocalState: () => ({
       isConnected: feeds.isConnected(),
+      isReady: isReady(),
+      returnsInMs: drainTime.isDraining() ? computeReturnMs(drainTime.leftMs()) : undefined,
       decode: loads.localReport(),
       prefill: prefillLoads.localReport(),
       spent: quota.spent(),
@@ -279,6 +279,14 @@
     prefillLoads,
     prefillWork,
     prefillRate: createPrefillRate(),
+    drain: drainTime,
+    drainView: () => ({
+      elapsedMs: drainTime.elapsedMs(),
+      leftMs: drainTime.leftMs(),
+      neighbours: localPeerReports(),
+      peers: livePeers.reports(),
+    }),
+    durations: createRunDurations(),
     isDataCentreSilent: contact.isSilent,
     isChanging: changing.isChanging,
     queueFor: createEngineQueues(() => QUEUE_RETRY_AFTER_MS),
@@ -287,51 +295,47 @@
   };
   const gateway = createServingGateway({ context, readRequest: options.readRequest });
 
-  const app = new Hono<{ Bindings: HttpBindings }>();
-  app.all('*', async (c) => {
-    await gateway.serve(c.env);
-    return RESPONSE_ALREADY_SENT;
-  });
-  const idleMs = (): number => directory.tables()?.limits.idleTimeoutMs ?? DEFAULT_IDLE_MS;
-  const callerServer = createHttpServer(app.fetch, options.callers, {
-    idleTimeoutMs: () => idleMs() + IDLE_MARGIN_MS,
-  });
-
-  const readinessApp = createReadinessApp({
-    path: options.readiness.path,
-    isReady: () => directory.isComplete() && !draining,
+  const servers = createNodeServers({
+    addresses: options,
+    gateway,
+    idleTimeoutMs: () => directory.tables()?.limits.idleTimeoutMs ?? DEFAULT_IDLE_MS,
+    isReady,
+    peerApps: [lists.app, crashProtection.app],
     telemetry,
   });
-  const readinessServer = createHttpServer(readinessApp.fetch, options.readiness);
-  const peerApp = new Hono().route('/', lists.app).route('/', crashProtection.app);
-  const peerServer = createHttpServer(peerApp.fetch, options.peers);
-  const servers: readonly HttpServer[] = [callerServer, readinessServer, peerServer];
+
+  const drain = async (): Promise<void> => {
+    telemetry.log('nodeDraining', { active: gateway.activeRequests() });
+    void roleOrders.release();
+    const deadline = monotonicMs() + options.graceMs - GRACE_MARGIN_MS;
+    drainTime.begin(deadline);
+    reports.sendToAll();
+    await stopListening(servers.callers, deadline);
+    await finishRequests(gateway, deadline);
+    telemetry.log('nodeStopped', { active: gateway.activeRequests() });
+    stopping.abort();
+    reports.stop();
+    watcherSelection.stop();
+    datagrams.stop();
+    lists.stop();
+    await Promise.all([servers.readiness.kill(), servers.peers.kill()]);
+  };
 
   return {
     start: async () => {
       telemetry.log('nodeStarted', { startedAt });
-      await Promise.all([datagrams.start(receive), ...servers.map((server) => server.start())]);
+      await Promise.all([
+        datagrams.start(receive),
+        ...Object.values(servers).map((server) => server.start()),
+      ]);
       reports.start();
       feeds.run(stopping.signal);
       void registry.run(stopping.signal);
       void roleOrders.run(stopping.signal);
     },
-    drain: async () => {
-      if (draining) return;
-      draining = true;
-      telemetry.log('nodeDraining', { active: gateway.activeRequests() });
-      void roleOrders.release();
-      gateway.beginDrain();
-      const deadline = monotonicMs() + options.graceMs - GRACE_MARGIN_MS;
-      await stopListening(callerServer, deadline);
-      while (gateway.activeRequests() > 0 && monotonicMs() < deadline) await sleep(DRAIN_POLL_MS);
-      telemetry.log('nodeStopped', { active: gateway.activeRequests() });
-      stopping.abort();
-      reports.stop();
-      watcherSelection.stop();
-      datagrams.stop();
-      lists.stop();
-      await Promise.all([readinessServer.kill(), peerServer.kill()]);
+    drain: () => {
+      drained ??= drain();
+      return drained;
     },
   };
 }
--- a/packages/serving/src/stop-listening.ts
+++ b/packages/serving/src/stop-listening.ts
@@ -6,7 +6,7 @@
  * Time after which the load balancer has removed the node: it does so after two failed readiness
  * checks, one second apart.
  */
-const BALANCER_REMOVAL_MS = 2_600;
+export const BALANCER_REMOVAL_MS = 2_600;
 /** Time without a new connection after which the node stops listening. */
 const QUIET_LISTENER_MS = 300;
 /** Time before the end of the drain at which the node stops listening in any case. */
--- /dev/null
+++ b/packages/serving/src/wait-for-reservation.ts
@@ -0,0 +1,62 @@
+/** Waits until a decode engine reserves capacity for a stream. */
+import { monotonicMs } from '@hibiscusbank/core';
+import type { RouterError } from '@hibiscusbank/core';
+import { err } from 'neverthrow';
+import type { Result } from 'neverthrow';
+import { computeNeededMs, remainingMs } from './context.js';
+import type { EngineReservation, ServingContext } from './context.js';
+import { describeDraining, describeLimited } from './failures.js';
+import { estimateLimitedWaitMs, reservationTokens, reserveEngine } from './reserve-engine.js';
+import type { StreamState } from './stream-state.js';
+import { planWait } from './wait-plan.js';
+
+/**
+ * Waits for a reservation. Errors: `no_capacity`, `cancelled`, and `not_ready` once the run could no
+ * longer end before this node stops. A stream that has begun is not refused: its caller would be cut
+ * off at once, and may get the rest.
+ */
+export async function waitForReservation(
+  context: ServingContext,
+  state: StreamState,
+): Promise<Result<EngineReservation, RouterError>> {
+  const { admitted, engineSettings, failedDecode } = state;
+  const { req, pool, organisation, signal } = admitted;
+  const usage = req.usage ?? { promptTokens: 0, maxOutputTokens: 0, expectedOutputTokens: 0 };
+  const tokens = reservationTokens(usage);
+  const plan = planWait({
+    targetMs: admitted.route.targetMs,
+    elapsedMs: monotonicMs() - admitted.startedAt,
+    remainingMs: remainingMs(admitted),
+    hasEvents: state.progress.hasEvents,
+  });
+  const queue = context.queueFor(pool.id);
+  const limitedWaitMs = estimateLimitedWaitMs(context, pool.id, queue.size());
+  if (limitedWaitMs > plan.maxWaitMs && !state.progress.hasEvents) {
+    const retryAfterMs = Math.round(limitedWaitMs);
+    context.telemetry.log('permitRefused', { request: req.id, retryAfterMs });
+    return err(describeLimited(retryAfterMs));
+  }
+  const waiting = new AbortController();
+  const endWait = (): void => waiting.abort();
+  signal.addEventListener('abort', endWait, { once: true });
+  const stopWatch = state.progress.hasEvents
+    ? () => {}
+    : context.drain.onTooLate(computeNeededMs(context, admitted), endWait);
+  const result = await queue.wait({
+    organisation: organisation?.id ?? '',
+    cost: tokens,
+    onTargetMs: plan.onTargetMs,
+    maxWaitMs: plan.maxWaitMs,
+    signal: waiting.signal,
+    reserve: (missedTarget) =>
+      reserveEngine(context, admitted, engineSettings, tokens, failedDecode, missedTarget),
+    release: (reservation) => {
+      reservation.release();
+      context.transport.dropReservation(reservation.upstream, reservation.id);
+    },
+  });
+  stopWatch();
+  signal.removeEventListener('abort', endWait);
+  const isTooLate = result.isErr() && waiting.signal.aborted && !signal.aborted;
+  return isTooLate ? err(describeDraining(context.drainView())) : result;
+}
--- a/packages/serving/test/drain.test.ts
+++ b/packages/serving/test/drain.test.ts
@@ -2,7 +2,7 @@
 import { connect } from 'node:net';
 import { Agent, request } from 'node:http';
 import type { IncomingMessage } from 'node:http';
-import { ok } from 'neverthrow';
+import { err, ok } from 'neverthrow';
 import { expect, test } from 'vitest';
 import {
   createFakeTransport,
@@ -15,6 +15,7 @@
   waitUntil,
   waitUntilReady,
 } from './support/test-node.js';
+import type { FakeTransport, TestNode } from './support/test-node.js';
 
 function get(agent: Agent, port: number, path: string): Promise<IncomingMessage> {
   return new Promise((resolve, reject) => {
@@ -149,3 +150,104 @@
   socket.destroy();
   await drained;
 });
+
+const postStream = (started: TestNode, usage: string): Promise<Response> =>
+  fetch(`${started.url}/note/1`, {
+    method: 'POST',
+    body: 'prompt',
+    headers: { authorization: 'Bearer key-1', 'x-usage': usage },
+  });
+
+/** Starts a node before a decode engine that generates a stream of 100 tokens in about 100 ms. */
+async function startEngineNode(transport: FakeTransport): Promise<TestNode> {
+  const stores = createTestStores();
+  stores.upstreams.put('d1', createUpstream('d1', { pool: enginePool, role: 'decode' }));
+  stores.upstreams.put('u1', createUpstream('u1', { pool: plainPool }));
+  transport.reply = async () =>
+    ok({
+      ...createReply([]),
+      read: async (onData) => {
+        onData(Buffer.from('id: 1\ndata: a\n\n'));
+        await new Promise((resolve) => {
+          setTimeout(resolve, 100);
+        });
+        onData(Buffer.from('id: 2\ndata: b\n\n'));
+        return true;
+      },
+    });
+  const started = await startTestNode(stores, transport);
+  await waitUntilReady(started);
+  return started;
+}
+
+// Streams that were taken late in the grace period were cut off with the process, also those that may
+// not be repeated.
+test('a draining node refuses a stream that would still run when it stops, and serves a shorter one', async () => {
+  const transport = createFakeTransport();
+  const started = await startEngineNode(transport);
+  await (await postStream(started, '500,100')).text();
+  const drained = started.node.drain();
+  const long = await postStream(started, '500,60000');
+  expect(long.status).toBe(503);
+  // There is no other node, so callers come back when this one has started again.
+  expect(Number(long.headers.get('retry-after'))).toBeGreaterThan(8);
+  expect(long.headers.get('connection')).toBe('close');
+  expect(long.headers.get('x-hibiscusbank-outcome')).toBe('not_run');
+  expect(transport.sends).toHaveLength(1);
+  const short = await postStream(started, '500,100');
+  expect(await short.text()).toContain('id: 2');
+  await drained;
+});
+
+// The drain began while the stream waited, which then began too late to end.
+test('a stream that waits for an engine is refused once it could no longer end', async () => {
+  const transport = createFakeTransport();
+  const started = await startEngineNode(transport);
+  await (await postStream(started, '500,100')).text();
+  transport.reserveReply = async () => err({ effect: 'not_run', wasSent: true, reason: 'refused' });
+  const waiting = postStream(started, '500,60000');
+  await waitUntil(() => started.events.some((event) => event.includes('refused a reservation')));
+  const drainedAt = performance.now();
+  const drained = started.node.drain();
+  const res = await waiting;
+  expect(res.status).toBe(503);
+  expect(performance.now() - drainedAt).toBeLessThan(2_000);
+  expect(await res.text()).toContain('another node');
+  await drained;
+});
+
+// A connection that is closed with the process leaves its caller without an answer.
+test('a request that its upstream holds until the drain ends gets an answer that promises nothing', async () => {
+  const transport = createFakeTransport();
+  const started = await startEngineNode(transport);
+  transport.reply = ({ signal }) =>
+    new Promise((resolve) => {
+      signal.addEventListener('abort', () =>
+        resolve(err({ effect: 'unknown', wasSent: true, reason: 'aborted' })),
+      );
+    });
+  const pending = fetch(`${started.url}/book/1`, {
+    method: 'POST',
+    headers: { authorization: 'Bearer key-1' },
+  });
+  await waitUntil(() => transport.sends.length === 1);
+  const drainedAt = performance.now();
+  const drained = started.node.drain();
+  const res = await pending;
+  expect(performance.now() - drainedAt).toBeLessThan(8_000);
+  expect(res.status).toBe(504);
+  expect(res.headers.get('x-hibiscusbank-outcome')).toBe('unknown');
+  await drained;
+});
+
+// The supervisor repeats its signal, and the second one ended the process at once.
+test('a second drain ends with the first', async () => {
+  const transport = createFakeTransport();
+  const started = await startEngineNode(transport);
+  await (await postStream(started, '500,100')).text();
+  const first = started.node.drain();
+  const running = postStream(started, '500,100');
+  const second = started.node.drain();
+  expect(await Promise.race([second, running.then((res) => res.text())])).toContain('id: 2');
+  await Promise.all([first, second]);
+});
