Bound bodies by the memory and work that they take, not only by their bytes

Cause: `readFullBody` and `readBody` kept one Buffer object for each chunk and bounded the sum of their lengths. The bound on all bodies together counted bytes as well.

Change: both collect into one buffer that grows by doubling. Responses are given up by weight, bytes plus 128 for each chunk, and all bodies together by the memory held.

Ruled out: memory held by the HTTP client (a reader that drops its chunks keeps a steady heap); a bound on the weight of callers' bodies, since proper callers may send small chunks.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,3 +1,4 @@
+export * from './byte-collector.js';
 export * from './errors.js';
 export * from './events.js';
 export * from './hashing.js';
--- a/packages/gateway/src/read-body.ts
+++ b/packages/gateway/src/read-body.ts
@@ -1,6 +1,6 @@
 /** Reads request bodies up to a size limit. */
 import type { IncomingMessage } from 'node:http';
-import { createError, toError } from '@hibiscusbank/core';
+import { createByteCollector, createError, toError } from '@hibiscusbank/core';
 import type { RouterError } from '@hibiscusbank/core';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
@@ -23,13 +23,11 @@
   limitBytes: number,
 ): Promise<Result<Buffer, RouterError>> {
   if ((declaredBytes(incoming) ?? 0) > limitBytes) return err(tooLarge(limitBytes));
-  const chunks: Buffer[] = [];
-  let size = 0;
+  const body = createByteCollector();
   try {
     for await (const chunk of incoming as AsyncIterable<Buffer>) {
-      size += chunk.length;
-      if (size > limitBytes) return err(tooLarge(limitBytes));
-      chunks.push(chunk);
+      body.append(chunk);
+      if (body.length() > limitBytes) return err(tooLarge(limitBytes));
     }
   } catch (thrown) {
     return err(
@@ -39,7 +37,7 @@
       }),
     );
   }
-  return ok(Buffer.concat(chunks));
+  return ok(body.take());
 }
 
 /** Aborts a streamed body that exceeds the limit without having declared its size. */
--- a/packages/serving/src/http-exchange.ts
+++ b/packages/serving/src/http-exchange.ts
@@ -1,6 +1,7 @@
 /** Sends an HTTP request on a pooled connection and reports whether it was sent when it fails. */
 import type { IncomingHttpHeaders } from 'node:http';
 import type { Socket } from 'node:net';
+import { createByteCollector } from '@hibiscusbank/core';
 import { buildConnector, Pool } from 'undici';
 import type { Dispatcher } from 'undici';
 
@@ -231,32 +232,30 @@
   });
 }
 
-/** Bytes of all bodies that are being read into memory at the moment. */
+/** Memory held by all bodies that are being read at the moment. */
 let bufferedBytes = 0;
 
 /**
- * Reads a body into memory. Resolves to `undefined` when the body is incomplete. A body that is
- * longer than `MAX_BODY_BYTES`, or for which there is no room beside other bodies, may never end;
- * its connection is closed.
+ * Reads a body into memory. Resolves to `undefined` when the body is incomplete. A body that weighs more
+ * than `MAX_BODY_BYTES`, or for which there is no room beside other bodies, may never end; its
+ * connection is closed.
  */
 export async function readFullBody(
   reply: Pick<ExchangeReply, 'read' | 'abort'>,
 ): Promise<Buffer | undefined> {
-  let chunks: Buffer[] = [];
-  let length = 0;
+  const body = createByteCollector();
   let isTooLong = false;
   const isComplete = await reply.read((chunk) => {
     if (isTooLong) return;
-    length += chunk.length;
-    bufferedBytes += chunk.length;
-    isTooLong = length > MAX_BODY_BYTES || bufferedBytes > MAX_BUFFERED_BYTES;
-    if (!isTooLong) {
-      chunks.push(chunk);
-      return;
-    }
-    chunks = [];
+    const heldBefore = body.capacity();
+    body.append(chunk);
+    bufferedBytes += body.capacity() - heldBefore;
+    isTooLong = body.weight() > MAX_BODY_BYTES || bufferedBytes > MAX_BUFFERED_BYTES;
+    if (!isTooLong) return;
+    bufferedBytes -= body.capacity();
+    body.take();
     reply.abort();
   });
-  bufferedBytes -= length;
-  return isComplete && !isTooLong ? Buffer.concat(chunks) : undefined;
+  bufferedBytes -= body.capacity();
+  return isComplete && !isTooLong ? body.take() : undefined;
 }
--- a/packages/serving/test/http-exchange.test.ts
+++ b/packages/serving/test/http-exchange.test.ts
@@ -91,6 +91,13 @@
   ['a head', '', `x-more: ${'a'.repeat(1_000)}\r\n`],
   ['a body without a length', '\r\n', 'a'.repeat(65_536)],
   ['a chunked body', 'transfer-encoding: chunked\r\n\r\n', `10000\r\n${'a'.repeat(65_536)}\r\n`],
+  // Each chunk takes memory and work of its own, which exhausted the heap long before the length did.
+  [
+    'a body in chunks of one byte',
+    'transfer-encoding: chunked\r\n\r\n',
+    '1\r\na\r\n'.repeat(9_000),
+  ],
+  ['a trailer', 'transfer-encoding: chunked\r\n\r\n0\r\n', `x-more: ${'a'.repeat(1_000)}\r\n`],
 ])('%s without end is refused and its connection closed', async (_, start, block) => {
   const count = { bytes: 0 };
   let closed: Promise<void> | undefined;
@@ -118,6 +125,26 @@
   expect(process.memoryUsage.rss() - before).toBeLessThan(256 * MEBIBYTE);
 });
 
+// The limit on all bodies counted their bytes, and not the memory that very small chunks take.
+test('bodies without end in chunks of one byte together take a bounded part of the heap', async () => {
+  const address = await listen((socket) => {
+    socket.write('HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n');
+    writeWithoutEnd(socket, Buffer.from('1\r\na\r\n'.repeat(9_000)), { bytes: 0 });
+  });
+  const before = process.memoryUsage().heapUsed;
+  const bodies = await Promise.all(Array.from({ length: 12 }, () => fetchBody(address)));
+  expect(bodies.every((body) => body === undefined)).toBe(true);
+  expect(process.memoryUsage().heapUsed - before).toBeLessThan(64 * MEBIBYTE);
+});
+
+test('a body in chunks of one byte that ends is complete', async () => {
+  const address = await listen((socket) => {
+    const chunks = [...'complete'].map((letter) => `1\r\n${letter}\r\n`).join('');
+    socket.end(`HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n${chunks}0\r\n\r\n`);
+  });
+  expect((await fetchBody(address))?.toString()).toBe('complete');
+});
+
 test('a body that is read after bodies without end is complete', async () => {
   let connections = 0;
   const address = await listen((socket) => {
