Do not take a response without events for a whole stream

Callers of other operators got a 200 with an empty body, framed as whole, after a server stopped in its head. But a stream whose response has neither a length nor chunks and ends just after its head passed as a whole stream.

Cause: the end of the connection is the end of such a response, and no event was demanded of it.

Change: a response without events breaks off, or continues on another engine where the route allows it. Only a caller that resumes its stream may get an empty rest.

Not distinguishable: a plain response without a length that ends just after its head.

Test failed before: `a stream whose response ends after its head is not whole`.

--- a/packages/serving/src/serve-stream.ts
+++ b/packages/serving/src/serve-stream.ts
@@ -70,8 +70,10 @@
   const isComplete = await relayEvents(reply, outgoing, progress, onFirstEvent, (pauseMs) =>
     context.pace.record(upstream, pauseMs),
   );
-  // A run that continues a stream and adds nothing does not show that the stream is complete.
-  if (!isComplete || (isContinued && progress.blocks === blocksBefore)) return broken;
+  // Without events, a response may have been cut off after its head. Only a caller that resumes its stream
+  // may have all events already.
+  const mayBeEmpty = admitted.req.lastEventId !== undefined && !isContinued;
+  if (!isComplete || (progress.blocks === blocksBefore && !mayBeEmpty)) return broken;
   outgoing.end();
   return { kind: 'answered' };
 }
--- a/packages/serving/test/unframed-streams.test.ts
+++ b/packages/serving/test/unframed-streams.test.ts
@@ -117,3 +117,20 @@
   ]);
   await expect(post(started, '/resumable/1').then((res) => res.text())).rejects.toThrow();
 });
+
+// Callers of other operators got a 200 with an empty body, framed as whole.
+test('a stream whose response ends after its head is not whole', async () => {
+  const { started } = await startNode([await startEngine('d1', '', (socket) => socket.end())]);
+  const res = await post(started, '/note/1');
+  await expect(res.text()).rejects.toThrow();
+});
+
+test('a caller that resumes its stream after the last event gets an empty whole stream', async () => {
+  const { started } = await startNode([await startEngine('d1', '', (socket) => socket.end())]);
+  const res = await fetch(`${started.url}/resumable/1`, {
+    method: 'POST',
+    body: 'prompt',
+    headers: { authorization: 'Bearer key-1', 'x-usage': '5000,800', 'last-event-id': '9' },
+  });
+  expect(await res.text()).toBe('');
+});
