Count requests to cold upstreams from the moment of their placement

Cause: a request passed the check of the limit when its engine was chosen, and was counted when it was sent, after reservation and prefill. All requests that waited meanwhile passed the same check.

Change: a request takes a permit when its upstream is chosen; the permit counts until one second after the send or until it is returned. A node that has not read the registry, and so does not know how many share the limit, sends nothing to cold upstreams.

--- a/packages/serving/src/choose-plain.ts
+++ b/packages/serving/src/choose-plain.ts
@@ -5,6 +5,7 @@
  */
 import { monotonicMs, sleep } from '@hibiscusbank/core';
 import type { UpstreamId } from '@hibiscusbank/core';
+import type { ColdPermit } from './cold-limit.js';
 import { createPermitAsk, createPlacementContext, remainingMs } from './context.js';
 import type { AdmittedRequest, ServingContext } from './context.js';
 import type { KnownUpstream } from './directory.js';
@@ -19,6 +20,8 @@
       readonly kind: 'chosen';
       readonly upstream: KnownUpstream;
       readonly alternative: KnownUpstream | undefined;
+      /** To be used for the send, or released. */
+      readonly coldPermit: ColdPermit;
     }
   /** No upstream can take the request. */
   | { readonly kind: 'none' }
@@ -31,7 +34,7 @@
   admitted: AdmittedRequest,
   excluded: ReadonlySet<UpstreamId>,
 ): Promise<PlainChoice> {
-  const { directory, loads, permits, telemetry } = context;
+  const { coldLimit, directory, loads, permits, telemetry } = context;
   const { pool, route, req, signal } = admitted;
   const responseMs = route.targetMs * RESPONSE_TARGET_SHARE;
   const passedMs = monotonicMs() - admitted.startedAt;
@@ -50,9 +53,11 @@
 
   while (!signal.aborted) {
     const [upstream, alternative] = rank(new Set([...excluded, ...statedWaits.keys()]), 0);
-    if (upstream === undefined) break;
+    const coldPermit = upstream && coldLimit.take(upstream, pool.coldRequestsPerSecond);
+    if (upstream === undefined || coldPermit === undefined) break;
     const { isGranted, waitMs } = await permits.acquire(upstream, createPermitAsk(admitted));
-    if (isGranted) return { kind: 'chosen', upstream, alternative };
+    if (isGranted) return { kind: 'chosen', upstream, alternative, coldPermit };
+    coldPermit.release();
     statedWaits.set(upstream.id, waitMs);
   }
   const waits = rank(excluded, Infinity).map((upstream) => ({
@@ -74,7 +79,9 @@
   if (last.isGranted) {
     await sleep(last.waitMs, signal);
     if (signal.aborted || !directory.isUsable(upstream)) return { kind: 'none' };
-    return { kind: 'chosen', upstream, alternative: undefined };
+    const coldPermit = coldLimit.take(upstream, pool.coldRequestsPerSecond);
+    if (coldPermit === undefined) return { kind: 'none' };
+    return { kind: 'chosen', upstream, alternative: undefined, coldPermit };
   }
   telemetry.log('permitRefused', {
     request: req.id,
--- a/packages/serving/src/context.ts
+++ b/packages/serving/src/context.ts
@@ -8,7 +8,7 @@
   UpstreamId,
 } from '@hibiscusbank/core';
 import { monotonicMs } from '@hibiscusbank/core';
-import type { ColdLimit } from './cold-limit.js';
+import type { ColdLimit, ColdPermit } from './cold-limit.js';
 import type { CrashProtection } from './crash-protection.js';
 import type { Directory, KnownUpstream } from './directory.js';
 import { computeNeededShare, mayTakeUnknown } from './drain-admission.js';
@@ -82,7 +82,8 @@
   readonly upstream: KnownUpstream;
   readonly id: string;
   readonly tokens: number;
-  /** Stops counting the reservation in this node's load. */
+  readonly coldPermit: ColdPermit;
+  /** Stops counting the reservation in this node's load, and returns its permit if it is unused. */
   readonly release: () => void;
 }
 
@@ -185,7 +186,7 @@
           unavailable.find(upstream) !== undefined,
         isWithinRateLimits:
           permits.mayAsk(upstream, maxPermitWaitMs) &&
-          (!isCold || coldLimit.isAllowed(upstream.id, pool.coldRequestsPerSecond)),
+          coldLimit.isAllowed(upstream, pool.coldRequestsPerSecond),
       };
     },
   };
--- a/packages/serving/src/node-registry.ts
+++ b/packages/serving/src/node-registry.ts
@@ -18,6 +18,8 @@
   peers(): readonly KnownPeer[];
   /** Returns the names of all registered nodes, including this one. */
   names(): readonly string[];
+  /** Whether the registry has been read, so that `names` are those of the fleet. */
+  isRead(): boolean;
   run(signal: AbortSignal): Promise<void>;
 }
 
@@ -41,6 +43,7 @@
 export function createNodeRegistry(options: NodeRegistryOptions): NodeRegistry {
   const { self, store, telemetry, isReachable } = options;
   let peers: readonly KnownPeer[] = [];
+  let isRead = false;
   const unreachableSince = new Map<string, number>();
 
   const register = async (): Promise<boolean> => {
@@ -73,6 +76,7 @@
   const refresh = async (): Promise<boolean> => {
     const listed = await store.list({ allowStale: true });
     if (listed.isErr()) return false;
+    isRead = true;
     const { entries } = listed.value;
     const registered = entries.map(decodePeer).filter((peer) => peer !== undefined);
     const names = new Set(registered.map(({ node }) => node));
@@ -85,6 +89,7 @@
 
   return {
     peers: () => peers,
+    isRead: () => isRead,
     names: () => [self.node, ...peers.map(({ node }) => node)],
     run: async (signal) => {
       while (!signal.aborted) {
--- a/packages/serving/src/prefill-prompt.ts
+++ b/packages/serving/src/prefill-prompt.ts
@@ -64,13 +64,18 @@
     const waitMs = context.prefillRate.waitMs(pool.id, prefillLoads.tokens(upstream.id));
     if (waitMs > maxWaitMs) return { kind: 'not_prefilled' };
     excluded.add(upstream.id);
+    const coldPermit = coldLimit.take(upstream, pool.coldRequestsPerSecond);
+    if (coldPermit === undefined) continue;
     const permit = await context.permits.acquire(upstream, createPermitAsk(admitted));
-    if (!permit.isGranted) continue;
+    if (!permit.isGranted) {
+      coldPermit.release();
+      continue;
+    }
     attempts += 1;
     const release = prefillLoads.begin(upstream.id, promptTokens);
     const limit = startTimeLimit(signal, PREFILL_TIMEOUT_MS);
     const startedAt = monotonicMs();
-    coldLimit.record(upstream.id);
+    coldPermit.recordSend();
     health.recordSend(upstream);
     context.unavailable.recordSend(upstream);
     const finishRun = context.crashProtection.beginRun(upstream, req);
--- a/packages/serving/src/reserve-engine.ts
+++ b/packages/serving/src/reserve-engine.ts
@@ -79,7 +79,13 @@
   });
   for (const upstream of ranked.slice(0, MAX_ENGINES_ASKED)) {
     if (signal.aborted) return undefined;
-    const release = loads.begin(upstream.id, tokens);
+    const coldPermit = context.coldLimit.take(upstream, pool.coldRequestsPerSecond);
+    if (coldPermit === undefined) continue;
+    const endLoad = loads.begin(upstream.id, tokens);
+    const release = (): void => {
+      endLoad();
+      coldPermit.release();
+    };
     const limit = startTimeLimit(signal, RESERVE_TIMEOUT_MS);
     const result = await transport.reserve(
       upstream,
@@ -103,7 +109,7 @@
         knownTokens: loads.tokens(upstream.id),
         waitedMs: Math.round(monotonicMs() - admitted.startedAt),
       });
-      return { upstream, id: result.value, tokens, release };
+      return { upstream, id: result.value, tokens, coldPermit, release };
     }
     release();
     const { reason } = result.error;
--- a/packages/serving/src/serve-plain.ts
+++ b/packages/serving/src/serve-plain.ts
@@ -4,6 +4,7 @@
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import { sendError, sendBuffered } from './responses.js';
+import type { ColdPermit } from './cold-limit.js';
 import { choosePlain } from './choose-plain.js';
 import { organisationOf, remainingMs } from './context.js';
 import type { AdmittedRequest, ServingContext } from './context.js';
@@ -47,12 +48,13 @@
   context: ServingContext,
   admitted: AdmittedRequest,
   upstream: KnownUpstream,
+  coldPermit: ColdPermit,
   limitMs: number,
 ): Promise<Result<PlainResponse, SendFailure>> {
-  const { transport, loads, coldLimit, health } = context;
+  const { transport, loads, health } = context;
   const release = loads.begin(upstream.id, 0);
   const limit = startTimeLimit(admitted.signal, limitMs);
-  coldLimit.record(upstream.id);
+  coldPermit.recordSend();
   health.recordSend(upstream);
   context.unavailable.recordSend(upstream);
   const finishRun = context.crashProtection.beginRun(upstream, admitted.req);
@@ -106,10 +108,13 @@
     const choice = await choosePlain(context, admitted, excluded);
     if (choice.kind === 'limited') retryAfterMs = choice.retryAfterMs;
     if (choice.kind !== 'chosen') break;
-    const { upstream, alternative } = choice;
+    const { upstream, alternative, coldPermit } = choice;
     blocked = context.crashProtection.findBlocked(req);
-    if (blocked !== undefined) break;
-    if (sends > 0 && lastFailure.wasSent && !retryBudget.take(pool.id)) break;
+    const isRetry = sends > 0 && lastFailure.wasSent;
+    if (blocked !== undefined || (isRetry && !retryBudget.take(pool.id))) {
+      coldPermit.release();
+      break;
+    }
     // A send is aborted early only when a retry can follow.
     const mayRetryElsewhere =
       mayRetry &&
@@ -118,7 +123,7 @@
       retryBudget.canTake(pool.id);
     const limitMs = mayRetryElsewhere ? route.targetMs * RETRY_TARGET_SHARE : remainingMs(admitted);
     const startedAt = monotonicMs();
-    const result = await sendOnce(context, admitted, upstream, limitMs);
+    const result = await sendOnce(context, admitted, upstream, coldPermit, limitMs);
     const ms = monotonicMs() - startedAt;
     telemetry.log('upstreamAnswered', {
       request: req.id,
--- a/packages/serving/src/serve-stream.ts
+++ b/packages/serving/src/serve-stream.ts
@@ -84,7 +84,7 @@
   reservation: EngineReservation,
   handle: KvHandle | undefined,
 ): Promise<RunOutcome> {
-  const { transport, health, coldLimit } = context;
+  const { transport, health } = context;
   const { admitted, progress } = state;
   const { req, route } = admitted;
   const blocksBefore = progress.blocks;
@@ -94,7 +94,7 @@
   const abortRun = (): void => stall.abort();
   limit.signal.addEventListener('abort', abortRun, { once: true });
   const stopWatch = route.isResumable ? watchStall(progress, route, abortRun) : () => {};
-  coldLimit.record(reservation.upstream.id);
+  reservation.coldPermit.recordSend();
   context.unavailable.recordSend(reservation.upstream);
   const finishRun = context.crashProtection.beginRun(reservation.upstream, req);
   const sent = await transport.send({
--- a/packages/serving/src/serving-node.ts
+++ b/packages/serving/src/serving-node.ts
@@ -146,6 +146,10 @@
     const { limit, sentAt } = statement;
     if (limit !== undefined) limits.record(upstream, limit.perSecond, sentAt);
   });
+  const coldLimit = createColdLimit({
+    self: self.node,
+    nodes: () => (registry.isRead() ? registry.names() : []),
+  });
   const notices = createChangeNotices({ datagrams, recipients: localPeerReports });
 
   const feeds = createStoreFeeds({
@@ -166,6 +170,7 @@
       health.retain(ids);
       pace.retain(ids);
       limits.retain(known);
+      coldLimit.retain(ids);
     },
     onOutOfService: directory.setOutOfService,
     onStoreDelta: notices.forward,
@@ -271,7 +276,7 @@
     crashProtection,
     permits: limits,
     unavailable,
-    coldLimit: createColdLimit({ self: self.node, nodes: registry.names }),
+    coldLimit,
     health,
     moved: createMovedUpstreams(),
     pace,
--- a/packages/serving/test/decisions.test.ts
+++ b/packages/serving/test/decisions.test.ts
@@ -146,11 +146,14 @@
   '%i nodes together stay within the rate limit of a cold upstream',
   (count) => {
     const names = Array.from({ length: count }, (_, index) => `node-${index}`);
+    const cold = { ...createUpstream('cold'), coldUntil: Infinity };
     const limits = names.map((self) => createColdLimit({ self, nodes: () => names }));
     let sent = 0;
     for (const limit of limits) {
-      while (limit.isAllowed(upstreamId('cold'), 8.4)) {
-        limit.record(upstreamId('cold'));
+      for (;;) {
+        const permit = limit.take(cold, 8.4);
+        if (permit === undefined) break;
+        permit.recordSend();
         sent += 1;
       }
     }
