Try listeners again whose address is in use, and log connections that cannot be accepted

Cause: a failed listen rejected the start. By reading: an error of a listener after its start was swallowed once, by the handler of the start, and would have ended the process the second time.

A node is ready only when all of its listeners are. Errors after the start are logged.

--- a/packages/core/src/events.ts
+++ b/packages/core/src/events.ts
@@ -25,6 +25,8 @@
   nodeDraining: defineEvent(1003, 'info', 'node draining'),
   nodeStopped: defineEvent(1004, 'info', 'node stopped'),
   nodeFailed: defineEvent(1005, 'error', 'node could not start'),
+  listenerRetried: defineEvent(1006, 'warn', 'address in use; the listener is tried again'),
+  listenerFailed: defineEvent(1007, 'error', 'listener could not accept a connection'),
 
   configurationApplied: defineEvent(1101, 'info', 'configuration applied'),
   configurationRejected: defineEvent(1102, 'error', 'configuration entry rejected'),
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -93,7 +93,9 @@
     return RESPONSE_ALREADY_SENT;
   });
 
-  const server = createHttpServer(app.fetch, options.listen);
+  const server = createHttpServer(app.fetch, options.listen, {
+    onError: (error) => options.telemetry.log('listenerFailed', { error: error.message }),
+  });
 
   return {
     serve,
--- a/packages/gateway/src/http-server.ts
+++ b/packages/gateway/src/http-server.ts
@@ -6,7 +6,7 @@
 import { getRequestListener } from '@hono/node-server';
 
 export interface HttpServer {
-  /** Starts to listen; rejects if the address is in use. */
+  /** Starts to listen; rejects if the address is in use, and may be called again then. */
   start(): Promise<void>;
   /** Returns the time since the last connection was accepted, Infinity before the first. */
   sinceLastConnectionMs(): number;
@@ -21,6 +21,8 @@
 export interface HttpServerOptions {
   /** Returns the idle time after which a connection is closed; called for each new connection. */
   readonly idleTimeoutMs?: () => number;
+  /** Called with errors of the listener after its start, as when the process has no file descriptors left. */
+  readonly onError?: (error: Error) => void;
 }
 
 /** Creates the server, which listens after `start`. */
@@ -60,8 +62,18 @@
             newServer.keepAliveTimeout = idleTimeoutMs();
           });
         }
-        server.once('error', reject);
-        server.listen(listen.port, listen.host, () => resolve());
+        const starting = server;
+        const onStartError = (error: Error): void => {
+          server = undefined;
+          reject(error);
+        };
+        starting.once('error', onStartError);
+        starting.listen(listen.port, listen.host, () => {
+          starting.off('error', onStartError);
+          // Without a listener, a failure to accept one connection would end the process.
+          starting.on('error', (error) => options.onError?.(error));
+          resolve();
+        });
       }),
     sinceLastConnectionMs: () => monotonicMs() - lastConnectionAt,
     port: () => (server?.address() as AddressInfo | null)?.port ?? 0,
--- a/packages/node/src/admin.ts
+++ b/packages/node/src/admin.ts
@@ -67,6 +67,8 @@
     await node.configuration.withdrawKey(keyDigest(digest));
     return c.json({ withdrawn: digest });
   });
-  const server = createHttpServer(app.fetch, options.listen);
+  const server = createHttpServer(app.fetch, options.listen, {
+    onError: (error) => options.node.telemetry.log('listenerFailed', { error: error.message }),
+  });
   return { start: server.start, port: server.port, stop: server.kill };
 }
--- a/packages/serving/src/node-servers.ts
+++ b/packages/serving/src/node-servers.ts
@@ -6,6 +6,7 @@
 import { RESPONSE_ALREADY_SENT } from '@hono/node-server/utils/response';
 import { Hono } from 'hono';
 import { createReadinessApp } from './readiness-app.js';
+import type { Listener } from './start-listeners.js';
 import type { ServingGateway } from './serving-gateway.js';
 import type { ServingNodeOptions } from './serving-node-options.js';
 
@@ -30,6 +31,7 @@
   readonly callers: HttpServer;
   readonly readiness: HttpServer;
   readonly peers: HttpServer;
+  readonly listeners: readonly Listener[];
 }
 
 /** Creates the servers, which listen after they were started. */
@@ -43,11 +45,17 @@
   const readinessApp = createReadinessApp({ path: addresses.readiness.path, isReady, telemetry });
   const peerApp = new Hono();
   for (const app of options.peerApps) peerApp.route('/', app);
-  return {
-    callers: createHttpServer(callerApp.fetch, addresses.callers, {
-      idleTimeoutMs: () => idleTimeoutMs() + IDLE_MARGIN_MS,
-    }),
-    readiness: createHttpServer(readinessApp.fetch, addresses.readiness),
-    peers: createHttpServer(peerApp.fetch, addresses.peers),
-  };
+  const onError = (error: Error): void => telemetry.log('listenerFailed', { error: error.message });
+  const callers = createHttpServer(callerApp.fetch, addresses.callers, {
+    idleTimeoutMs: () => idleTimeoutMs() + IDLE_MARGIN_MS,
+    onError,
+  });
+  const readiness = createHttpServer(readinessApp.fetch, addresses.readiness, { onError });
+  const peers = createHttpServer(peerApp.fetch, addresses.peers, { onError });
+  const listeners = [
+    { ...addresses.callers, start: callers.start },
+    { ...addresses.readiness, start: readiness.start },
+    { ...addresses.peers, start: peers.start },
+  ];
+  return { callers, readiness, peers, listeners };
 }
--- a/packages/serving/src/peer-datagrams.ts
+++ b/packages/serving/src/peer-datagrams.ts
@@ -47,11 +47,15 @@
     start: (receive) =>
       new Promise((resolve, reject) => {
         const opened = createSocket('udp4');
-        socket = opened;
-        opened.once('error', reject);
+        const onStartError = (error: Error): void => {
+          opened.close();
+          reject(error);
+        };
+        opened.once('error', onStartError);
         opened.on('message', (bytes) => handleDatagram(bytes, receive));
         opened.bind(self.port, self.host, () => {
-          opened.off('error', reject);
+          socket = opened;
+          opened.off('error', onStartError);
           opened.on('error', (error) => {
             telemetry.log('peerReportRejected', { error: error.message });
           });
--- a/packages/serving/src/serving-node.ts
+++ b/packages/serving/src/serving-node.ts
@@ -38,6 +38,7 @@
 import { createServingGateway } from './serving-gateway.js';
 import type { ServingNodeOptions } from './serving-node-options.js';
 import { stopListening } from './stop-listening.js';
+import { startListeners } from './start-listeners.js';
 import { createStoreFeeds } from './store-feeds.js';
 import { createUnavailableUpstreams, isLeavingNotice } from './unavailable-upstreams.js';
 import { createUpstreamHealth } from './upstream-health.js';
@@ -73,7 +74,8 @@
   const livePeers = createLivePeers();
   const drainTime = createDrainTime();
   const changing = createChangingRoles(livePeers.reports);
-  const isReady = (): boolean => directory.isComplete() && !drainTime.isDraining();
+  let isListening = false;
+  const isReady = (): boolean => isListening && directory.isComplete() && !drainTime.isDraining();
   let drained: Promise<void> | undefined;
 
   const self: KnownPeer = {
@@ -329,10 +331,9 @@
   return {
     start: async () => {
       telemetry.log('nodeStarted', { startedAt });
-      await Promise.all([
-        datagrams.start(receive),
-        ...Object.values(servers).map((server) => server.start()),
-      ]);
+      const datagramListener = { ...options.peers, start: () => datagrams.start(receive) };
+      await startListeners([...servers.listeners, datagramListener], telemetry);
+      isListening = true;
       reports.start();
       feeds.run(stopping.signal);
       void registry.run(stopping.signal);
