--- a/packages/serving/src/context.ts
+++ b/packages/serving/src/context.ts
@@ -63,6 +63,7 @@
   readonly prefillLoads: UpstreamLoads;
   /** Time that is left of this node's drain. */
   readonly drain: Pick<DrainTime, 'isDraining' | 'leftMs' | 'onTooLate'>;
+  /** What the decisions of a drain depend on. */
   readonly drainView: () => DrainView;
   /** How long recent runs took. */
   readonly durations: RunDurations;
