Move the traffic of a pool to another software version on an operator's order

Cause: no module read the entries `rollouts/SERVICE`, and the version of an upstream decided nothing, so that new versions got requests at once and orders were never answered.

Change: packages/serving/src/rollouts. A version that is ordered gets a bounded canary by independent sampling, a ramp, then all requests; one node controls a roll-out by rank among the live nodes, with evidence that all nodes keep, and writes `completed` or `rolled_back`. Placement, prefills, role orders and capacity count only upstreams that may be used. Without the contract `rollout` versions decide nothing. serving-node.ts is split (peer messages, drain, upstream statements).

Ruled out: a granter of canary requests (sampling keeps the bound with one message less for each request), the lease of the role orders (15 s to pass on against orders of 12 s), promotion as soon as the evidence suffices (faults that come later would reach all callers).

--- a/packages/core/src/events.ts
+++ b/packages/core/src/events.ts
@@ -160,6 +160,9 @@
     'info',
     'request refused; it could not end before the node stops',
   ),
+  rolloutOrdered: defineEvent(1837, 'info', 'state of a roll-out in the store'),
+  rolloutStep: defineEvent(1838, 'info', 'next step of a roll-out'),
+  rolloutReported: defineEvent(1839, 'info', 'state of a roll-out written to the store'),
   settingsReloaded: defineEvent(1816, 'info', 'settings reloaded'),
 
   invariantViolated: defineEvent(1901, 'error', 'invariant violated'),
--- a/packages/core/src/metrics.ts
+++ b/packages/core/src/metrics.ts
@@ -92,6 +92,18 @@
       help: 'Prompt parts in quarantine because upstreams ended under them',
       registers,
     }),
+    versionAnswers: new Counter({
+      name: 'hibiscusbank_version_answers_total',
+      help: 'Answers during roll-outs, by pool, version (new or in_service) and result (answered or failed)',
+      labelNames: ['pool', 'version', 'result'],
+      registers,
+    }),
+    rolloutShare: new Gauge({
+      name: 'hibiscusbank_rollout_share',
+      help: 'Fraction of the requests of a pool that the new version gets during a roll-out',
+      labelNames: ['pool'],
+      registers,
+    }),
     limitedUpstreams: new Gauge({
       name: 'hibiscusbank_limited_upstreams',
       help: 'Upstreams that limit the requests of all nodes together, by pool',
--- a/packages/serving/src/choose-plain.ts
+++ b/packages/serving/src/choose-plain.ts
@@ -6,7 +6,13 @@
 import { monotonicMs, sleep } from '@hibiscusbank/core';
 import type { UpstreamId } from '@hibiscusbank/core';
 import type { ColdPermit } from './cold-limit.js';
-import { createPermitAsk, createPlacementContext, remainingMs } from './context.js';
+import {
+  createPermitAsk,
+  createPlacementContext,
+  listCandidates,
+  mayStillServe,
+  remainingMs,
+} from './context.js';
 import type { AdmittedRequest, ServingContext } from './context.js';
 import type { KnownUpstream } from './directory.js';
 import type { PermitAsk } from './permit-grants.js';
@@ -34,7 +40,7 @@
   admitted: AdmittedRequest,
   excluded: ReadonlySet<UpstreamId>,
 ): Promise<PlainChoice> {
-  const { coldLimit, directory, loads, permits, telemetry } = context;
+  const { coldLimit, loads, permits, telemetry } = context;
   const { pool, route, req, signal } = admitted;
   const responseMs = route.targetMs * RESPONSE_TARGET_SHARE;
   const passedMs = monotonicMs() - admitted.startedAt;
@@ -47,7 +53,7 @@
   const statedWaits = new Map<UpstreamId, number>();
   const rank = (without: ReadonlySet<UpstreamId>, maxWaitMs: number): readonly KnownUpstream[] =>
     rankPlain(
-      directory.usable(pool.id),
+      listCandidates(context, admitted, excluded),
       createPlacementContext(context, pool, loads, without, maxWaitMs),
     );
 
@@ -68,7 +74,7 @@
   const [earliest] = waits;
   if (signal.aborted) return { kind: 'none' };
   if (earliest === undefined) {
-    const left = directory.usable(pool.id).filter(({ id }) => !excluded.has(id));
+    const left = listCandidates(context, admitted, excluded).filter(({ id }) => !excluded.has(id));
     const retryAfterMs = context.unavailable.returnMs(left);
     if (retryAfterMs === 0) return { kind: 'none' };
     telemetry.log('permitRefused', { request: req.id, reason: 'paused', retryAfterMs });
@@ -78,7 +84,7 @@
   const last = await permits.acquire(upstream, ask);
   if (last.isGranted) {
     await sleep(last.waitMs, signal);
-    if (signal.aborted || !directory.isUsable(upstream)) return { kind: 'none' };
+    if (signal.aborted || !mayStillServe(context, upstream)) return { kind: 'none' };
     const coldPermit = coldLimit.take(upstream, pool.coldRequestsPerSecond);
     if (coldPermit === undefined) return { kind: 'none' };
     return { kind: 'chosen', upstream, alternative: undefined, coldPermit };
--- a/packages/serving/src/context.ts
+++ b/packages/serving/src/context.ts
@@ -25,6 +25,7 @@
 import type { PrefillWork } from './prefill-work.js';
 import type { RequestLimits } from './request-limits.js';
 import type { RetryBudget } from './retry-budget.js';
+import type { Rollouts } from './rollouts/index.js';
 import type { ExpectedOutput, RunDurations } from './run-durations.js';
 import type {
   ServingOrganisation,
@@ -52,6 +53,8 @@
   readonly crashProtection: Pick<CrashProtection, 'findBlocked' | 'beginRun'>;
   /** Upstreams that stated that they leave or want no requests for a while. */
   readonly unavailable: Pick<UnavailableUpstreams, 'find' | 'returnMs' | 'recordSend'>;
+  /** Moves the traffic of pools to other software versions. */
+  readonly rollouts: Rollouts;
   readonly health: UpstreamHealth;
   /** Upstreams whose entry is out of date. */
   readonly moved: MovedUpstreams;
@@ -143,6 +146,27 @@
   return mayTakeUnknown(view) ? 0 : limitMs;
 }
 
+/** Returns the upstreams that a request may be sent to now; `failed` are those on which it failed. */
+export function listCandidates(
+  { directory, rollouts }: ServingContext,
+  { pool, req, route }: AdmittedRequest,
+  failed: ReadonlySet<UpstreamId>,
+): readonly KnownUpstream[] {
+  return rollouts.select(directory.usable(pool.id), { id: req.id, route: route.id, failed });
+}
+
+/** Whether an upstream may still get requests. Checked immediately before a run is sent. */
+export function mayStillServe(
+  { directory, rollouts, unavailable }: ServingContext,
+  upstream: ServingUpstream,
+): boolean {
+  return (
+    directory.isUsable(upstream) &&
+    rollouts.mayServe(upstream) &&
+    unavailable.find(upstream) === undefined
+  );
+}
+
 /** Returns the ask for a permit of a request that cannot wait for it. */
 export function createPermitAsk(admitted: AdmittedRequest): PermitAsk {
   return {
--- a/packages/serving/src/ports.ts
+++ b/packages/serving/src/ports.ts
@@ -3,6 +3,7 @@
  * entries. An adapter for the platform implements them.
  */
 import type { Result } from 'neverthrow';
+import type { RolloutOrder } from './rollouts/types.js';
 import type { WritingOrder } from './restored-entries.js';
 import type { StorePosition } from './store-era.js';
 import type {
@@ -101,6 +102,14 @@
     value: unknown,
     expected: StorePosition | undefined,
   ): Promise<Result<StoredEntry, StoreFailure>>;
+  /**
+   * Replaces what the router reports of an entry when `expected` is the position of its last change.
+   */
+  writeStatus(
+    name: string,
+    status: unknown,
+    expected: StorePosition,
+  ): Promise<Result<StoredEntry, StoreFailure>>;
   read(name: string): Promise<Result<StoredEntry, StoreFailure>>;
   /** Removes an entry when `expected` is the position of its last change. */
   remove(name: string, expected: StorePosition): Promise<Result<void, StoreFailure>>;
@@ -113,6 +122,7 @@
   /** Returns `undefined` for an invalid entry. */
   readonly tables: (value: unknown) => ServingTables | undefined;
   readonly upstream: (name: string, value: unknown) => ServingUpstream | undefined;
+  readonly rollout: (name: string, value: unknown) => RolloutOrder | undefined;
   /** Order of the writings of the configuration and of an upstream's entry. */
   readonly tablesOrder: WritingOrder;
   readonly upstreamOrder: WritingOrder;
--- a/packages/serving/src/prefill-prompt.ts
+++ b/packages/serving/src/prefill-prompt.ts
@@ -1,8 +1,9 @@
 /** Prefills prompts on prefill engines. */
 import { monotonicMs } from '@hibiscusbank/core';
-import type { UpstreamId } from '@hibiscusbank/core';
+import type { PoolId, UpstreamId } from '@hibiscusbank/core';
 import { createPermitAsk, createPlacementContext, organisationOf, remainingMs } from './context.js';
 import type { AdmittedRequest, EngineReservation, ServingContext } from './context.js';
+import type { KnownUpstream } from './directory.js';
 import { rankPrefill } from './placement.js';
 import { gotNoResponse } from './failures.js';
 import { startTimeLimit } from './time-limit.js';
@@ -32,6 +33,17 @@
   /** The retry budget is used up. */
   | { readonly kind: 'budget_exhausted' };
 
+/** Returns the engines whose KV cache the reserved engine can use: those of its software version. */
+function listPrefillCandidates(
+  { directory, rollouts }: ServingContext,
+  pool: PoolId,
+  { upstream }: EngineReservation,
+): readonly KnownUpstream[] {
+  const usable = directory.usable(pool);
+  if (!rollouts.isRunning(pool)) return usable;
+  return usable.filter(({ version }) => version === upstream.version);
+}
+
 /**
  * Prefills the prompt of a request on a prefill engine. The first call that an engine accepts does
  * not use the retry budget. A failed call counts as a retry, whether another prefill or the run
@@ -44,7 +56,7 @@
   failed: Set<UpstreamId>,
   use: { readonly isRetry: boolean; readonly isResumed: boolean },
 ): Promise<PrefillOutcome> {
-  const { directory, transport, prefillLoads, health, retryBudget, coldLimit, telemetry } = context;
+  const { transport, prefillLoads, health, retryBudget, coldLimit, telemetry } = context;
   const excluded = new Set(failed);
   const { pool, req, body, route, signal } = admitted;
   const promptTokens = req.usage?.promptTokens ?? 0;
@@ -55,7 +67,7 @@
   while (attempts < MAX_PREFILL_ATTEMPTS && !signal.aborted) {
     const placement = createPlacementContext(context, pool, prefillLoads, excluded);
     const ranked = rankPrefill(
-      directory.usable(pool.id),
+      listPrefillCandidates(context, pool.id, reservation),
       placement,
       reservation.upstream.dataCentre,
     );
@@ -79,6 +91,7 @@
     health.recordSend(upstream);
     context.unavailable.recordSend(upstream);
     const finishRun = context.crashProtection.beginRun(upstream, req);
+    const versionRun = context.rollouts.beginRun(upstream, route.id, 'prefill');
     const result = await transport.prefill({
       upstream,
       req,
@@ -91,6 +104,8 @@
     });
     const isBroken = result.isErr() && result.error.reason === 'broken' && !limit.signal.aborted;
     finishRun(isBroken ? 'broken' : 'other');
+    if (result.isOk()) versionRun.end('answered');
+    else versionRun.end(isBroken ? 'failed' : 'none');
     limit.stop();
     release();
     if (result.isOk()) {
--- a/packages/serving/src/reserve-engine.ts
+++ b/packages/serving/src/reserve-engine.ts
@@ -1,8 +1,9 @@
 /** Reserves memory and a slot on a decode engine, asking the least loaded engines first. */
 import { monotonicMs } from '@hibiscusbank/core';
 import type { PoolId, UpstreamId } from '@hibiscusbank/core';
-import { createPermitAsk, createPlacementContext } from './context.js';
+import { createPermitAsk, createPlacementContext, listCandidates } from './context.js';
 import type { AdmittedRequest, EngineReservation, ServingContext } from './context.js';
+import type { KnownUpstream } from './directory.js';
 import { rankDecode } from './placement.js';
 import { startTimeLimit } from './time-limit.js';
 import type { EngineSettings, ModelUsage } from './types.js';
@@ -45,11 +46,11 @@
 
 /** Returns the wait that limits and pauses of the decode engines impose behind the waiting requests. */
 export function estimateLimitedWaitMs(
-  { directory, permits, unavailable }: ServingContext,
+  { directory, permits, rollouts, unavailable }: ServingContext,
   pool: PoolId,
   waiting: number,
 ): number {
-  const engines = directory.usable(pool).filter(({ role }) => role === 'decode');
+  const engines = rollouts.select(directory.usable(pool)).filter(({ role }) => role === 'decode');
   const perSecond = engines.length === 0 ? undefined : permits.expectedRate(engines);
   // With no requests ahead the wait is 0, since other nodes may leave permits unused.
   const limitedMs =
@@ -69,15 +70,25 @@
   excluded: ReadonlySet<UpstreamId>,
   missedTarget: boolean,
 ): Promise<EngineReservation | undefined> {
-  const { directory, transport, loads, health, telemetry } = context;
+  const { transport, loads, health, telemetry } = context;
   const { pool, req, signal } = admitted;
   const placement = createPlacementContext(context, pool, loads, excluded);
-  const ranked = rankDecode(directory.usable(pool.id), placement, {
-    tokens: missedTarget ? tokens + engineSettings.memoryTokens * PAST_TARGET_FREE_SHARE : tokens,
-    memoryTokens: engineSettings.memoryTokens,
-    slots: engineSettings.slots,
-  });
-  for (const upstream of ranked.slice(0, MAX_ENGINES_ASKED)) {
+  const rank = (failed: ReadonlySet<UpstreamId>): readonly KnownUpstream[] =>
+    rankDecode(listCandidates(context, admitted, failed), placement, {
+      tokens: missedTarget ? tokens + engineSettings.memoryTokens * PAST_TARGET_FREE_SHARE : tokens,
+      memoryTokens: engineSettings.memoryTokens,
+      slots: engineSettings.slots,
+    });
+  const ranked = rank(excluded);
+  const asked = ranked.slice(0, MAX_ENGINES_ASKED);
+  if (context.rollouts.isRunning(pool.id)) {
+    // A request that the few engines of a new version cannot take is served as if it had failed there.
+    const [first] = ranked;
+    const others = rank(new Set([...excluded, ...ranked.map(({ id }) => id)]));
+    const otherVersion = others.filter(({ version }) => version !== first?.version);
+    asked.splice(otherVersion.length > 0 ? 1 : asked.length, Infinity, ...otherVersion);
+  }
+  for (const upstream of asked.slice(0, MAX_ENGINES_ASKED)) {
     if (signal.aborted) return undefined;
     const coldPermit = context.coldLimit.take(upstream, pool.coldRequestsPerSecond);
     if (coldPermit === undefined) continue;
--- a/packages/serving/src/role-orders.ts
+++ b/packages/serving/src/role-orders.ts
@@ -47,6 +47,8 @@
   readonly prefillLoads: UpstreamLoads;
   readonly prefillWork: Pick<PrefillWork, 'takeMean'>;
   readonly transport: UpstreamTransport;
+  /** Whether the traffic of a pool is being moved to another software version. */
+  readonly isRollingOut: (pool: PoolId) => boolean;
   /** Called after orders, so that peers learn immediately which engines are changing role. */
   readonly onOrdered: () => void;
   readonly telemetry: Telemetry;
@@ -169,7 +171,9 @@
       const engines = directory.usable(id);
       const poolMeans = updateMeans(id, engines);
       const now = monotonicMs();
+      // A plan over both versions would take the prefill engines of one away.
       const isDue =
+        !options.isRollingOut(id) &&
         now - poolMeans.since >= FIRST_ORDER_DELAY_MS &&
         now - poolMeans.orderedAt >= ORDER_ROUND_MS;
       if (!mayOrder || !isDue) continue;
--- a/packages/serving/src/serve-plain.ts
+++ b/packages/serving/src/serve-plain.ts
@@ -13,6 +13,7 @@
 import type { ServingFailure } from './failures.js';
 import { readFullBody } from './http-exchange.js';
 import type { QuarantinedPart } from './part-quarantine.js';
+import type { VersionRun } from './rollouts/index.js';
 import { startTimeLimit } from './time-limit.js';
 import type { SendFailure, UpstreamReply } from './types.js';
 import type { RunEnd } from './upstream-ends.js';
@@ -44,6 +45,23 @@
   return isBroken && !isAborted ? 'broken' : 'other';
 }
 
+function recordVersionRun(
+  run: VersionRun,
+  sent: Result<UpstreamReply, SendFailure>,
+  body: Buffer | undefined,
+  isExpired: boolean,
+): void {
+  if (sent.isOk() && body !== undefined) {
+    run.recordFirst();
+    run.end(sent.value.status >= 500 ? 'failed' : 'answered');
+    return;
+  }
+  // Without an answer the time so far still tells whether the upstream is slow.
+  if (isExpired) run.recordFirst();
+  const isBroken = !isExpired && (sent.isOk() || sent.error.reason === 'broken');
+  run.end(isBroken ? 'failed' : 'none');
+}
+
 async function sendOnce(
   context: ServingContext,
   admitted: AdmittedRequest,
@@ -58,6 +76,7 @@
   health.recordSend(upstream);
   context.unavailable.recordSend(upstream);
   const finishRun = context.crashProtection.beginRun(upstream, admitted.req);
+  const versionRun = context.rollouts.beginRun(upstream, admitted.route.id, 'request');
   const sent = await transport.send({
     upstream,
     req: admitted.req,
@@ -70,6 +89,7 @@
   finishRun(describeRunEnd(sent, body, limit.signal.aborted));
   limit.stop();
   release();
+  recordVersionRun(versionRun, sent, body, limit.isExpired());
   if (sent.isErr()) {
     const hasRequestEnded = sent.error.reason === 'aborted' && !limit.isExpired();
     const isHealthy = sent.error.reason === 'moved' || sent.error.reason === 'paused';
--- a/packages/serving/src/serve-stream.ts
+++ b/packages/serving/src/serve-stream.ts
@@ -2,7 +2,7 @@
 import { monotonicMs } from '@hibiscusbank/core';
 import type { UpstreamId } from '@hibiscusbank/core';
 import { sendBuffered, sendError, startResponse } from './responses.js';
-import { organisationOf, readExpectedOutput, remainingMs } from './context.js';
+import { mayStillServe, organisationOf, readExpectedOutput, remainingMs } from './context.js';
 import type { AdmittedRequest, EngineReservation, ServingContext } from './context.js';
 import { describeBlocked, describeFailure, describeTimeout } from './failures.js';
 import type { ServingFailure } from './failures.js';
@@ -11,6 +11,7 @@
 import type { PrefillOutcome } from './prefill-prompt.js';
 import { relayEvents } from './relay-events.js';
 import type { StreamState } from './stream-state.js';
+import type { VersionRun } from './rollouts/index.js';
 import { startTimeLimit } from './time-limit.js';
 import type { EngineSettings, KvHandle, SendFailure, UpstreamReply } from './types.js';
 import { waitForReservation } from './wait-for-reservation.js';
@@ -41,6 +42,7 @@
   state: StreamState,
   upstream: UpstreamId,
   reply: UpstreamReply,
+  versionRun: VersionRun,
 ): Promise<RunOutcome> {
   const { admitted, progress } = state;
   const { outgoing } = admitted;
@@ -62,14 +64,17 @@
   }
   startResponse(outgoing, reply);
   const blocksBefore = progress.blocks;
+  const onPause = (pauseMs: number): void => {
+    context.pace.record(upstream, pauseMs);
+    versionRun.recordPause(pauseMs);
+  };
   const onFirstEvent = (): void => {
+    versionRun.recordFirst();
     const ms = Math.round(monotonicMs() - admitted.startedAt);
     context.telemetry.metrics.firstTokenSeconds.observe({ pool: admitted.pool.id }, ms / 1_000);
     context.telemetry.log('streamStarted', { request: admitted.req.id, ms });
   };
-  const isComplete = await relayEvents(reply, outgoing, progress, onFirstEvent, (pauseMs) =>
-    context.pace.record(upstream, pauseMs),
-  );
+  const isComplete = await relayEvents(reply, outgoing, progress, onFirstEvent, onPause);
   // Without events, a response may have been cut off after its head. Only a caller that resumes its stream
   // may have all events already.
   const mayBeEmpty = admitted.req.lastEventId !== undefined && !isContinued;
@@ -97,6 +102,7 @@
   reservation.coldPermit.recordSend();
   context.unavailable.recordSend(reservation.upstream);
   const finishRun = context.crashProtection.beginRun(reservation.upstream, req);
+  const versionRun = context.rollouts.beginRun(reservation.upstream, route.id, 'request');
   const sent = await transport.send({
     upstream: reservation.upstream,
     req,
@@ -111,13 +117,16 @@
   });
   const outcome: RunOutcome = sent.isErr()
     ? { kind: 'failed', failure: sent.error }
-    : await relay(context, state, reservation.upstream.id, sent.value);
+    : await relay(context, state, reservation.upstream.id, sent.value, versionRun);
   const wasBroken = outcome.kind === 'failed' && outcome.failure.effect === 'unknown';
   if (wasBroken && !stall.signal.aborted) finishRun('broken');
   else
     finishRun(outcome.kind === 'answered' && progress.blocks > blocksBefore ? 'answered' : 'other');
   stopWatch();
   limit.stop();
+  const isFailed = sent.isOk() && sent.value.status >= 500;
+  if (isFailed || (wasBroken && !stall.signal.aborted)) versionRun.end('failed');
+  else versionRun.end(outcome.kind === 'answered' ? 'answered' : 'none');
   if (outcome.kind === 'answered') health.recordSuccess(reservation.upstream);
   else if (
     outcome.kind === 'failed' &&
@@ -137,8 +146,13 @@
 ): Promise<PrefillOutcome> {
   const { unfetchedKv, admitted, failedPrefill } = state;
   state.unfetchedKv = undefined;
-  if (unfetchedKv !== undefined && monotonicMs() < unfetchedKv.until)
-    return { kind: 'prefilled', handle: unfetchedKv.handle };
+  if (unfetchedKv !== undefined && monotonicMs() < unfetchedKv.until) {
+    const { handle } = unfetchedKv;
+    const isOfVersion = handle.upstream.version === reservation.upstream.version;
+    if (isOfVersion || !context.rollouts.isRunning(admitted.pool.id))
+      return { kind: 'prefilled', handle };
+    context.transport.dropHandle(handle);
+  }
   const prefilled = await prefillPrompt(context, admitted, reservation, failedPrefill, {
     isRetry: state.wasPrefilled,
     isResumed: admitted.req.lastEventId !== undefined,
@@ -161,7 +175,7 @@
   state: StreamState,
   reservation: EngineReservation,
 ): Promise<RunOutcome> {
-  const { transport, directory, crashProtection } = context;
+  const { transport, crashProtection } = context;
   const { admitted, progress } = state;
   const isBlocked = (): boolean => crashProtection.findBlocked(admitted.req) !== undefined;
   // A part of the prompt may have been quarantined while the request waited.
@@ -184,9 +198,7 @@
         until: monotonicMs() + state.engineSettings.kvHandleTtlMs * HANDLE_REUSE_SHARE,
       };
   };
-  const isUsable =
-    directory.isUsable(reservation.upstream) &&
-    context.unavailable.find(reservation.upstream) === undefined;
+  const isUsable = mayStillServe(context, reservation.upstream);
   if (admitted.signal.aborted || isBlocked() || !isUsable) {
     releaseUnused();
     context.telemetry.log('runNotSent', {
--- a/packages/serving/src/serving-gateway.ts
+++ b/packages/serving/src/serving-gateway.ts
@@ -97,7 +97,7 @@
   };
 
   const isPoolFree = (pool: ServingPool, tokens: number): boolean => {
-    const usable = directory.usable(pool.id);
+    const usable = context.rollouts.select(directory.usable(pool.id));
     const { engine } = pool;
     if (engine === undefined) {
       const used = usable.reduce((sum, { id }) => sum + context.loads.requests(id), 0);
@@ -130,6 +130,7 @@
   const run = async (admitted: AdmittedRequest): Promise<ServingFailure | undefined> => {
     const { engine } = admitted.pool;
     retryBudget.recordRequest(admitted.pool.id);
+    context.rollouts.countRequest(admitted.pool.id, admitted.route.id);
     return engine !== undefined && admitted.route.kind === 'stream'
       ? serveStream(context, admitted, engine)
       : servePlain(context, admitted);
--- a/packages/serving/src/serving-node-options.ts
+++ b/packages/serving/src/serving-node-options.ts
@@ -5,6 +5,7 @@
 import type { QuotaTolerance } from './organisation-quota.js';
 import type { KnownPeer } from './peer-reports.js';
 import type { EntryDecoders, EntryStore, UpstreamTransport } from './ports.js';
+import type { RolloutBounds } from './rollouts/types.js';
 import type { StoreEra } from './store-era.js';
 import type { KnowledgeBounds } from './store-feeds.js';
 import type { ServingRequest } from './types.js';
@@ -33,6 +34,8 @@
     readonly outOfService: EntryStore;
     readonly nodes: EntryStore;
     readonly leases: EntryStore;
+    /** `undefined` if operators order no roll-outs. */
+    readonly rollouts: EntryStore | undefined;
   };
   readonly decoders: EntryDecoders;
   readonly transport: UpstreamTransport;
@@ -45,6 +48,8 @@
   /** Excess over the rates of organisations that the operator tolerates. */
   readonly quotaTolerance: QuotaTolerance;
   readonly bounds: KnowledgeBounds;
+  /** Limits for versions that may be bad; `undefined` if operators order no roll-outs. */
+  readonly rolloutBounds: RolloutBounds | undefined;
   /** Time between SIGTERM and the forced end of the process. */
   readonly graceMs: number;
   readonly telemetry: Telemetry;
--- a/packages/serving/src/serving-node.ts
+++ b/packages/serving/src/serving-node.ts
@@ -2,7 +2,7 @@
 import { dataCentreId, monotonicMs } from '@hibiscusbank/core';
 import type { UpstreamId } from '@hibiscusbank/core';
 import { createLease } from '@hibiscusbank/object-api';
-import { createChangeNotices, isChangeNotice } from './change-notices.js';
+import { createChangeNotices } from './change-notices.js';
 import { createChangingRoles } from './changing-roles.js';
 import { createColdLimit } from './cold-limit.js';
 import type { ServingContext } from './context.js';
@@ -13,15 +13,16 @@
 import { createDrainTime } from './drain-time.js';
 import { createEnginePace } from './engine-pace.js';
 import { createEngineQueues } from './engine-queues.js';
-import { finishRequests } from './finish-requests.js';
 import { createLivePeers, mergePeers } from './live-peers.js';
 import { createLeaseHistory, createLeaseObjects } from './lease-objects.js';
 import { createMovedUpstreams } from './moved-upstreams.js';
+import { createNodeDrain } from './node-drain.js';
 import { createNodeRegistry } from './node-registry.js';
 import { createNodeServers } from './node-servers.js';
 import { createOrganisationQuota } from './organisation-quota.js';
 import { createPeerDatagrams } from './peer-datagrams.js';
 import { createPeerLists } from './peer-lists.js';
+import { createPeerMessages } from './peer-messages.js';
 import {
   createPeerReports,
   isLargeFleet,
@@ -31,18 +32,17 @@
 import type { KnownPeer } from './peer-reports.js';
 import { createPrefillRate } from './prefill-rate.js';
 import { createPrefillWork } from './prefill-work.js';
-import { createRequestLimits } from './request-limits.js';
 import { createRetryBudget } from './retry-budget.js';
 import { createRoleOrders } from './role-orders.js';
+import { createRollouts } from './rollouts/index.js';
 import { createRunDurations } from './run-durations.js';
 import { createServingGateway } from './serving-gateway.js';
 import type { ServingNodeOptions } from './serving-node-options.js';
-import { stopListening } from './stop-listening.js';
 import { startListeners } from './start-listeners.js';
 import { createStoreFeeds } from './store-feeds.js';
-import { createUnavailableUpstreams, isLeavingNotice } from './unavailable-upstreams.js';
 import { createUpstreamHealth } from './upstream-health.js';
 import { createUpstreamLoads } from './upstream-loads.js';
+import { createUpstreamStatements } from './upstream-statements.js';
 import { createWatcherSelection } from './watcher-selection.js';
 
 export interface ServingNode {
@@ -54,8 +54,6 @@
   drain(): Promise<void>;
 }
 
-/** Margin by which the process stops before its forced end. */
-const GRACE_MARGIN_MS = 500;
 /** Retry delay for callers whose request found no free memory in time. */
 const QUEUE_RETRY_AFTER_MS = 3_000;
 const DEFAULT_IDLE_MS = 20_000;
@@ -76,7 +74,6 @@
   const changing = createChangingRoles(livePeers.reports);
   let isListening = false;
   const isReady = (): boolean => isListening && directory.isComplete() && !drainTime.isDraining();
-  let drained: Promise<void> | undefined;
 
   const self: KnownPeer = {
     node: options.name,
@@ -130,8 +127,9 @@
     peers: livePeers.names,
     telemetry,
   });
-  const limits = createRequestLimits({
+  const { limits, unavailable } = createUpstreamStatements({
     self,
+    transport,
     datagrams,
     peers: recipients,
     isSilent: livePeers.hasTimedOut,
@@ -139,21 +137,27 @@
     reachableShare,
     telemetry,
   });
-  const unavailable = createUnavailableUpstreams({
-    onLeaving: (leavingNotice) => datagrams.send({ leavingNotice }, recipients()),
-    telemetry,
-  });
-  transport.onStatement((upstream, statement) => {
-    unavailable.record(upstream, statement);
-    const { limit, sentAt } = statement;
-    if (limit !== undefined) limits.record(upstream, limit.perSecond, sentAt);
-  });
   const coldLimit = createColdLimit({
     self: self.node,
     nodes: () => (registry.isRead() ? registry.names() : []),
   });
   const notices = createChangeNotices({ datagrams, recipients: localPeerReports });
 
+  const reachesMajority = () => (livePeers.reports().length + 1) * 2 > registry.names().length;
+  const rollouts = createRollouts({
+    self,
+    startedAt,
+    bounds: options.rolloutBounds,
+    peers: livePeers.names,
+    recipients,
+    reachesMajority,
+    usable: directory.usable,
+    store: stores.rollouts,
+    decode: options.decoders.rollout,
+    datagrams,
+    telemetry,
+  });
+
   const feeds = createStoreFeeds({
     stores,
     era: options.era,
@@ -173,8 +177,10 @@
       pace.retain(ids);
       limits.retain(known);
       coldLimit.retain(ids);
+      rollouts.setUpstreams(known);
     },
     onOutOfService: directory.setOutOfService,
+    onRollouts: rollouts.setOrders,
     onStoreDelta: notices.forward,
     telemetry,
   });
@@ -235,19 +241,18 @@
     },
   });
 
-  const receive = (message: unknown): void => {
-    if (limits.receive(message)) return;
-    if (isLeavingNotice(message)) unavailable.applyReport([message.leavingNotice]);
-    else if (isChangeNotice(message)) feeds.byKind[message.notice]?.apply(message.delta);
-    else if (!crashProtection.receive(message) && !reports.receive(message)) {
-      telemetry.log('peerReportRejected', { error: 'unknown message format' });
-    }
-  };
+  const receive = createPeerMessages({
+    handlers: [limits.receive, rollouts.receive, crashProtection.receive, reports.receive],
+    onLeaving: (leaving) => unavailable.applyReport([leaving]),
+    onChange: ({ notice, delta }) => feeds.byKind[notice]?.apply(delta),
+    telemetry,
+  });
 
   const roleOrders = createRoleOrders({
     self: self.node,
     peers: livePeers.names,
-    reachesMajority: () => (livePeers.reports().length + 1) * 2 > registry.names().length,
+    reachesMajority,
+    isRollingOut: rollouts.isRunning,
     changing,
     lease: (key) =>
       createLease({
@@ -279,6 +284,7 @@
     permits: limits,
     unavailable,
     coldLimit,
+    rollouts,
     health,
     moved: createMovedUpstreams(),
     pace,
@@ -307,26 +313,28 @@
     gateway,
     idleTimeoutMs: () => directory.tables()?.limits.idleTimeoutMs ?? DEFAULT_IDLE_MS,
     isReady,
-    peerApps: [lists.app, crashProtection.app],
+    peerApps: [lists.app, crashProtection.app, rollouts.app],
     telemetry,
   });
 
-  const drain = async (): Promise<void> => {
-    telemetry.log('nodeDraining', { active: gateway.activeRequests() });
-    void roleOrders.release();
-    const deadline = monotonicMs() + options.graceMs - GRACE_MARGIN_MS;
-    drainTime.begin(deadline);
-    reports.sendToAll();
-    await stopListening(servers.callers, deadline);
-    await finishRequests(gateway, deadline);
-    telemetry.log('nodeStopped', { active: gateway.activeRequests() });
-    stopping.abort();
-    reports.stop();
-    watcherSelection.stop();
-    datagrams.stop();
-    lists.stop();
-    await Promise.all([servers.readiness.kill(), servers.peers.kill()]);
-  };
+  const drain = createNodeDrain({
+    gateway,
+    servers,
+    drainTime,
+    graceMs: options.graceMs,
+    onBegin: () => {
+      void roleOrders.release();
+      reports.sendToAll();
+    },
+    onEnd: () => {
+      stopping.abort();
+      reports.stop();
+      watcherSelection.stop();
+      datagrams.stop();
+      lists.stop();
+    },
+    telemetry,
+  });
 
   return {
     start: async () => {
@@ -338,10 +346,8 @@
       feeds.run(stopping.signal);
       void registry.run(stopping.signal);
       void roleOrders.run(stopping.signal);
+      void rollouts.run(stopping.signal);
     },
-    drain: () => {
-      drained ??= drain();
-      return drained;
-    },
+    drain,
   };
 }
--- a/packages/serving/src/store-feeds.ts
+++ b/packages/serving/src/store-feeds.ts
@@ -18,6 +18,7 @@
  */
 const MISSING_UPSTREAM_MS = 2_500;
 const MISSING_OUT_OF_SERVICE_MS = 5_000;
+const MISSING_ROLLOUTS_MS = 5_000;
 /** The directory keeps the last configuration for good, so there is no need to keep it here. */
 const MISSING_TABLES_MS = 0;
 /** Pause between two watches of entries that rarely change. */
@@ -49,6 +50,8 @@
     readonly tables: EntryStore;
     readonly upstreams: EntryStore;
     readonly outOfService: EntryStore;
+    /** `undefined` if operators order no roll-outs. */
+    readonly rollouts: EntryStore | undefined;
   };
   readonly era: StoreEra;
   readonly decoders: EntryDecoders;
@@ -57,6 +60,7 @@
   readonly onTables: (entries: Entries) => void;
   readonly onUpstreams: (entries: Entries) => void;
   readonly onOutOfService: (entries: Entries) => void;
+  readonly onRollouts: (entries: Entries) => void;
   readonly onStoreDelta: (kind: string, delta: EntryDelta) => void;
   readonly telemetry: Telemetry;
 }
@@ -117,7 +121,7 @@
     }),
     ...(digest === undefined ? {} : { digest }),
   });
-  const byKind: Readonly<Record<string, EntryFeed>> = {
+  const byKind: Record<string, EntryFeed> = {
     tables: create('tables', stores.tables, bounds.applyTablesWithinMs, {
       pauseMs: DEFAULT_PAUSE_MS,
       onChange: options.onTables,
@@ -138,6 +142,17 @@
       }),
     }),
   };
+  if (stores.rollouts !== undefined) {
+    byKind.rollouts = create('rollouts', stores.rollouts, bounds.stopSendingWithinMs, {
+      pauseMs: DEFAULT_PAUSE_MS,
+      onChange: options.onRollouts,
+      restored: createRestoredEntries({
+        order: () => undefined,
+        missingMs: MISSING_ROLLOUTS_MS,
+        remembersRemovals: false,
+      }),
+    });
+  }
   return {
     byKind,
     isConnected: upstreams.isConnected,
--- a/packages/serving/src/types.ts
+++ b/packages/serving/src/types.ts
@@ -1,5 +1,6 @@
 /** Types of the fleet's configuration, its upstreams, and requests sent to them. */
 import type { DataCentreId, OrganisationId, PoolId, RouteId, UpstreamId } from '@hibiscusbank/core';
+import type { UpstreamVersion } from './rollouts/types.js';
 
 /**
  * How a request may be retried: an `idempotent` one always, a `non_idempotent` one only when it did
@@ -93,6 +94,8 @@
 export interface ServingUpstream {
   readonly id: UpstreamId;
   readonly pool: PoolId;
+  /** Version of its software. */
+  readonly version: UpstreamVersion;
   /** `host:port`. */
   readonly address: string;
   readonly dataCentre: DataCentreId;
--- a/packages/serving/test/role-orders.test.ts
+++ b/packages/serving/test/role-orders.test.ts
@@ -36,6 +36,7 @@
       tablesName: 'main',
       tables: (value) => value as ServingTables,
       upstream: (_, value) => value as ServingUpstream,
+      rollout: () => undefined,
       tablesOrder: () => undefined,
       upstreamOrder: () => undefined,
     },
@@ -99,6 +100,7 @@
       prefillLoads: createUpstreamLoads(),
       prefillWork: createPrefillWork(),
       transport,
+      isRollingOut: () => false,
       onOrdered: () => {},
       telemetry,
     });
--- a/packages/serving/test/store-feeds.test.ts
+++ b/packages/serving/test/store-feeds.test.ts
@@ -46,6 +46,7 @@
     tables: createFakeStore(era),
     upstreams: createFakeStore(era),
     outOfService: createFakeStore(era),
+    rollouts: undefined,
   };
   const known = new Map<Kind, readonly string[]>();
   const record = (kind: Kind) => (entries: ReadonlyMap<string, StoredEntry>) => {
@@ -59,6 +60,7 @@
       tablesName: 'main',
       tables: () => undefined,
       upstream: () => undefined,
+      rollout: () => undefined,
       tablesOrder: () => undefined,
       upstreamOrder: () => undefined,
     },
@@ -67,6 +69,7 @@
     onTables: record('tables'),
     onUpstreams: record('upstreams'),
     onOutOfService: record('outOfService'),
+    onRollouts: () => {},
     onStoreDelta: () => {},
     telemetry: createTelemetry({}, () => {}),
   }).run(stopping.signal);
--- a/packages/serving/test/support/fake-store.ts
+++ b/packages/serving/test/support/fake-store.ts
@@ -128,6 +128,12 @@
         return err('conflict');
       return ok(put(name, value));
     },
+    writeStatus: async (name, status, expected) => {
+      if (down) return err('unavailable');
+      const current = entries.get(name);
+      if (current?.revision !== expected.revision) return err('conflict');
+      return ok(put(name, { ...(current.value as object), ...(status as object) }));
+    },
     remove: async (name) => {
       if (down) return err('unavailable');
       entries.delete(name);
--- a/packages/serving/test/support/test-node.ts
+++ b/packages/serving/test/support/test-node.ts
@@ -1,5 +1,3 @@
-import { createServer } from 'node:net';
-import type { AddressInfo } from 'node:net';
 import {
   createTelemetry,
   dataCentreId,
@@ -9,10 +7,11 @@
   upstreamId,
 } from '@hibiscusbank/core';
 import { err, ok } from 'neverthrow';
-import { createServingNode } from '../../src/index.js';
+import { createServingNode, upstreamVersion } from '../../src/index.js';
 import type {
   HttpExchange,
   RoleOrder,
+  RolloutOrder,
   ServingNode,
   ServingRoute,
   ServingTables,
@@ -25,6 +24,7 @@
 } from '../../src/index.js';
 import { createFakeStore, createTestEra } from './fake-store.js';
 import type { FakeStore } from './fake-store.js';
+import { findFreePort } from './free-port.js';
 
 export const plainPool = poolId('plain');
 export const enginePool = poolId('engines');
@@ -118,6 +118,7 @@
     pool: plainPool,
     address: '127.0.0.1:1',
     dataCentre: dataCentreId('a'),
+    version: upstreamVersion('v1'),
     slots: 6,
     isReady: true,
     role: undefined,
@@ -203,18 +204,6 @@
   return transport;
 }
 
-async function findFreePort(): Promise<number> {
-  const server = createServer();
-  await new Promise<void>((resolve) => {
-    server.listen(0, '127.0.0.1', resolve);
-  });
-  const { port } = server.address() as AddressInfo;
-  await new Promise((resolve) => {
-    server.close(resolve);
-  });
-  return port;
-}
-
 export interface TestStores {
   readonly era: StoreEra;
   readonly tables: FakeStore;
@@ -222,6 +211,7 @@
   readonly outOfService: FakeStore;
   readonly nodes: FakeStore;
   readonly leases: FakeStore;
+  readonly rollouts: FakeStore;
 }
 
 export function createTestStores(tables = createTables()): TestStores {
@@ -233,6 +223,7 @@
     outOfService: createFakeStore(era),
     nodes: createFakeStore(era),
     leases: createFakeStore(era),
+    rollouts: createFakeStore(era),
   };
   stores.tables.put('main', tables);
   return stores;
@@ -278,6 +269,7 @@
       tablesName: 'main',
       tables: (value) => value as ServingTables,
       upstream: (_, value) => (value === null ? undefined : (value as ServingUpstream)),
+      rollout: (_, value) => value as RolloutOrder,
     },
     transport,
     readRequest: ({ incoming }: HttpExchange) => {
@@ -315,6 +307,7 @@
       stopSendingWithinMs: 2_000,
       leaveDataCentreWithinMs: 5_000,
     },
+    rolloutBounds: { exposeShare: 0.1, exposeSlack: 50 },
     graceMs: 8_000,
     telemetry: createTelemetry({ vm: name }, (_, context, text) => {
       events.push(`${text} ${JSON.stringify(context)}`);
