Allocate the capacity of pools by one node for all in large fleets

Cause: with 64 to 88 nodes each node sees one request a second and ranks upstreams by reports that are 2 to 10 s old. All nodes asked the same engines (1,501 refused reservations for 72 granted in 4 s on 11 nodes), plain upstreams had no queue, and who waited was luck.

Change: packages/serving/src/allocation. One node of each cell knows what all nodes hold, chooses the upstream, and keeps the requests that wait in one order: on target first, then priority, organisations with less, arrival; every fourth grant to the oldest; room is kept for large prompts; what cannot be served in time is refused at once. Prefill engines are chosen in the same way. Routes' priorities decide among organisations with the same one. In fleets of up to 8 nodes nothing changes. The granter selection of permits is shared; lease factory and report wiring moved out of serving-node.ts.

Ruled out: more reports, two random choices, leases of cells, memory kept free by priority, the node's own queue (docs/design/allocation.md).

--- a/packages/core/src/events.ts
+++ b/packages/core/src/events.ts
@@ -163,6 +163,7 @@
   rolloutOrdered: defineEvent(1837, 'info', 'state of a roll-out in the store'),
   rolloutStep: defineEvent(1838, 'info', 'next step of a roll-out'),
   rolloutReported: defineEvent(1839, 'info', 'state of a roll-out written to the store'),
+  allocationRefused: defineEvent(1840, 'info', 'no capacity for a request in its time'),
   settingsReloaded: defineEvent(1816, 'info', 'settings reloaded'),
 
   invariantViolated: defineEvent(1901, 'error', 'invariant violated'),
--- a/packages/core/src/metrics.ts
+++ b/packages/core/src/metrics.ts
@@ -92,6 +92,12 @@
       help: 'Prompt parts in quarantine because upstreams ended under them',
       registers,
     }),
+    allocations: new Counter({
+      name: 'hibiscusbank_allocations_total',
+      help: 'Requests for capacity that this node decided for the fleet, by pool and outcome (granted or refused)',
+      labelNames: ['pool', 'outcome'],
+      registers,
+    }),
     versionAnswers: new Counter({
       name: 'hibiscusbank_version_answers_total',
       help: 'Answers during roll-outs, by pool, version (new or in_service) and result (answered or failed)',
--- a/packages/serving/src/choose-plain.ts
+++ b/packages/serving/src/choose-plain.ts
@@ -5,6 +5,8 @@
  */
 import { monotonicMs, sleep } from '@hibiscusbank/core';
 import type { UpstreamId } from '@hibiscusbank/core';
+import { allocateCapacity } from './allocate-capacity.js';
+import type { Refusal } from './allocation/index.js';
 import type { ColdPermit } from './cold-limit.js';
 import {
   createPermitAsk,
@@ -28,6 +30,8 @@
       readonly alternative: KnownUpstream | undefined;
       /** To be used for the send, or released. */
       readonly coldPermit: ColdPermit;
+      /** Called when the request has ended or is not sent. */
+      readonly release: () => void;
     }
   /** No upstream can take the request. */
   | { readonly kind: 'none' }
@@ -39,6 +43,7 @@
   context: ServingContext,
   admitted: AdmittedRequest,
   excluded: ReadonlySet<UpstreamId>,
+  refusedBy?: Refusal,
 ): Promise<PlainChoice> {
   const { coldLimit, loads, permits, telemetry } = context;
   const { pool, route, req, signal } = admitted;
@@ -57,12 +62,37 @@
       createPlacementContext(context, pool, loads, without, maxWaitMs),
     );
 
+  /** Obtains a place from the node that allocates the pool; `undefined` if that is not possible. */
+  const allocate = async (): Promise<PlainChoice | undefined> => {
+    const result = await allocateCapacity(context, admitted, 0, ask, excluded, signal, refusedBy);
+    if (result.kind === 'unanswered') return undefined;
+    if (result.kind === 'refused')
+      return signal.aborted
+        ? { kind: 'none' }
+        : { kind: 'limited', retryAfterMs: result.retryAfterMs };
+    const { held, upstream } = result;
+    const { release } = held;
+    const coldPermit = coldLimit.take(upstream, pool.coldRequestsPerSecond);
+    const permit = await permits.acquire(upstream, createPermitAsk(admitted));
+    if (signal.aborted || coldPermit === undefined || !permit.isGranted) {
+      coldPermit?.release();
+      release();
+      return signal.aborted ? { kind: 'none' } : undefined;
+    }
+    const [alternative] = rank(new Set([...excluded, upstream.id]), 0);
+    return { kind: 'chosen', upstream, alternative, coldPermit, release };
+  };
+
+  if (context.allocation.isActive(pool.id)) {
+    const allocated = await allocate();
+    if (allocated !== undefined) return allocated;
+  }
   while (!signal.aborted) {
     const [upstream, alternative] = rank(new Set([...excluded, ...statedWaits.keys()]), 0);
     const coldPermit = upstream && coldLimit.take(upstream, pool.coldRequestsPerSecond);
     if (upstream === undefined || coldPermit === undefined) break;
     const { isGranted, waitMs } = await permits.acquire(upstream, createPermitAsk(admitted));
-    if (isGranted) return { kind: 'chosen', upstream, alternative, coldPermit };
+    if (isGranted) return { kind: 'chosen', upstream, alternative, coldPermit, release: () => {} };
     coldPermit.release();
     statedWaits.set(upstream.id, waitMs);
   }
@@ -87,7 +117,13 @@
     if (signal.aborted || !mayStillServe(context, upstream)) return { kind: 'none' };
     const coldPermit = coldLimit.take(upstream, pool.coldRequestsPerSecond);
     if (coldPermit === undefined) return { kind: 'none' };
-    return { kind: 'chosen', upstream, alternative: undefined, coldPermit };
+    return {
+      kind: 'chosen',
+      upstream,
+      alternative: undefined,
+      coldPermit,
+      release: () => {},
+    };
   }
   telemetry.log('permitRefused', {
     request: req.id,
--- a/packages/serving/src/context.ts
+++ b/packages/serving/src/context.ts
@@ -8,6 +8,7 @@
   UpstreamId,
 } from '@hibiscusbank/core';
 import { monotonicMs } from '@hibiscusbank/core';
+import type { Allocation } from './allocation/index.js';
 import type { ColdLimit, ColdPermit } from './cold-limit.js';
 import type { CrashProtection } from './crash-protection.js';
 import type { Directory, KnownUpstream } from './directory.js';
@@ -55,6 +56,8 @@
   readonly unavailable: Pick<UnavailableUpstreams, 'find' | 'returnMs' | 'recordSend'>;
   /** Moves the traffic of pools to other software versions. */
   readonly rollouts: Rollouts;
+  /** Capacity that one node allocates for all. */
+  readonly allocation: Allocation;
   readonly health: UpstreamHealth;
   /** Upstreams whose entry is out of date. */
   readonly moved: MovedUpstreams;
@@ -115,6 +118,24 @@
   return admitted.organisation?.id;
 }
 
+/** Priority of an organisation that states none. */
+const DEFAULT_ORGANISATION_PRIORITY = 1;
+/** Priorities of routes that are told apart within one priority of organisations. */
+const ROUTE_PRIORITIES = 3;
+/** Least urgent priority that engines know. */
+const MAX_PRIORITY = 9;
+
+/**
+ * Returns the priority of a request for capacity, 0 for the most urgent. Engines get that of the
+ * organisation alone, since they preempt running requests for more urgent ones. That of its organisation goes first; among
+ * organisations with the same one, that of the route decides.
+ */
+export function computePriority({ organisation, route }: AdmittedRequest): number {
+  const first = organisation?.priority ?? DEFAULT_ORGANISATION_PRIORITY;
+  const second = Math.min(ROUTE_PRIORITIES - 1, Math.max(0, route.priority));
+  return Math.min(MAX_PRIORITY, first * ROUTE_PRIORITIES + second);
+}
+
 /** Returns the time left for a request, at least 1 ms. */
 export function remainingMs({ deadlineAt }: AdmittedRequest): number {
   return Math.max(1, Math.floor(deadlineAt - monotonicMs()));
@@ -171,7 +192,7 @@
 export function createPermitAsk(admitted: AdmittedRequest): PermitAsk {
   return {
     organisation: organisationOf(admitted) ?? '',
-    priority: admitted.organisation?.priority ?? admitted.route.priority,
+    priority: computePriority(admitted),
     onTargetMs: 0,
     maxWaitMs: 0,
   };
--- /dev/null
+++ b/packages/serving/src/granter-selection.ts
@@ -0,0 +1,56 @@
+/**
+ * Selects the node that decides for all nodes about something that they share, such as the permits of an
+ * upstream. The selection needs no agreement: nodes rank the nodes that report and answer by the same
+ * hash, and those that select different ones for a moment are tolerated by what they decide.
+ */
+import { monotonicMs, rankByRendezvous } from '@hibiscusbank/core';
+import type { KnownPeer } from './peer-reports.js';
+
+/** Time for which a node that did not answer is not asked again. */
+const UNANSWERED_PAUSE_MS = 1_000;
+
+export interface GranterSelectionOptions {
+  readonly self: KnownPeer;
+  /** Returns the other nodes. */
+  readonly peers: () => readonly KnownPeer[];
+  /** Whether a node has stopped reporting. */
+  readonly isSilent: (node: string) => boolean;
+}
+
+export interface GranterSelection {
+  /** Returns the node that decides about a key, one of the data centre if it is given and has nodes. */
+  find(key: string, dataCentre: string | undefined): KnownPeer;
+  /** Records that a node did not answer. */
+  pause(node: string): void;
+}
+
+/** Creates the selection of one node. */
+export function createGranterSelection(options: GranterSelectionOptions): GranterSelection {
+  const { self } = options;
+  const pausedUntil = new Map<string, number>();
+
+  const isPaused = (node: string): boolean => {
+    if (options.isSilent(node)) return true;
+    const until = pausedUntil.get(node);
+    if (until === undefined) return false;
+    if (monotonicMs() < until) return true;
+    pausedUntil.delete(node);
+    return false;
+  };
+
+  return {
+    find: (key, dataCentre) => {
+      const all = [self, ...options.peers().filter(({ node }) => !isPaused(node))];
+      const local =
+        dataCentre === undefined ? [] : all.filter((peer) => peer.dataCentre === dataCentre);
+      const candidates = new Map(
+        (local.length > 0 ? local : all).map((peer) => [peer.node, peer] as const),
+      );
+      const [first] = rankByRendezvous(key, [...candidates.keys()]);
+      return candidates.get(first ?? '') ?? self;
+    },
+    pause: (node) => {
+      pausedUntil.set(node, monotonicMs() + UNANSWERED_PAUSE_MS);
+    },
+  };
+}
--- a/packages/serving/src/lease-objects.ts
+++ b/packages/serving/src/lease-objects.ts
@@ -1,7 +1,14 @@
 /** Stores leases as entries in the platform's store. */
 import { createError } from '@hibiscusbank/core';
 import type { ErrorKind, RouterError } from '@hibiscusbank/core';
-import type { LeaseHistory, ObjectApi, StoredObject } from '@hibiscusbank/object-api';
+import { createLease } from '@hibiscusbank/object-api';
+import type {
+  Lease,
+  LeaseHistory,
+  LeaseOptions,
+  ObjectApi,
+  StoredObject,
+} from '@hibiscusbank/object-api';
 import { err, ok, ResultAsync } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import type { EntryStore, StoredEntry, StoreFailure } from './ports.js';
@@ -81,3 +88,16 @@
       ),
   };
 }
+
+export interface LeaseFactoryOptions extends Pick<LeaseOptions, 'holder' | 'telemetry'> {
+  readonly store: EntryStore;
+  readonly era: StoreEra;
+}
+
+/** Returns a function that creates the lease of a key for one holder. */
+export function createLeaseFactory(options: LeaseFactoryOptions): (key: string) => Lease {
+  const { store, era, holder, telemetry } = options;
+  const objectApi = createLeaseObjects(store);
+  const history = createLeaseHistory(era);
+  return (key) => createLease({ objectApi, history, key, holder, telemetry });
+}
--- a/packages/serving/src/prefill-prompt.ts
+++ b/packages/serving/src/prefill-prompt.ts
@@ -1,7 +1,13 @@
 /** Prefills prompts on prefill engines. */
 import { monotonicMs } from '@hibiscusbank/core';
 import type { PoolId, UpstreamId } from '@hibiscusbank/core';
-import { createPermitAsk, createPlacementContext, organisationOf, remainingMs } from './context.js';
+import {
+  computePriority,
+  createPermitAsk,
+  createPlacementContext,
+  organisationOf,
+  remainingMs,
+} from './context.js';
 import type { AdmittedRequest, EngineReservation, ServingContext } from './context.js';
 import type { KnownUpstream } from './directory.js';
 import { rankPrefill } from './placement.js';
@@ -44,6 +50,51 @@
   return usable.filter(({ version }) => version === upstream.version);
 }
 
+interface PrefillChoice {
+  readonly upstream: KnownUpstream;
+  /** Prompt tokens that are prefilled before. */
+  readonly aheadTokens: number;
+  /** Called when the prompt has been prefilled or is not sent. */
+  readonly endHold: () => void;
+}
+
+/** Chooses a prefill engine by what its allocator knows, or by the reports of the other nodes. */
+async function choosePrefill(
+  context: ServingContext,
+  admitted: AdmittedRequest,
+  reservation: EngineReservation,
+  excluded: ReadonlySet<UpstreamId>,
+): Promise<PrefillChoice | undefined> {
+  const { allocation, prefillLoads } = context;
+  const { pool, req, signal } = admitted;
+  const candidates = listPrefillCandidates(context, pool.id, reservation);
+  const { dataCentre } = reservation.upstream;
+  if (allocation.isActive(pool.id)) {
+    const result = await allocation.acquire(pool.id, 'prefill', {
+      tokens: req.usage?.promptTokens ?? 0,
+      organisation: organisationOf(admitted) ?? '',
+      priority: computePriority(admitted),
+      onTargetMs: 0,
+      maxWaitMs: 0,
+      dataCentre,
+      excluded: [...excluded],
+      refusedBy: undefined,
+      signal,
+    });
+    if (result.kind === 'granted') {
+      const { held } = result;
+      const upstream = candidates.find(({ id }) => id === held.upstream);
+      if (upstream !== undefined)
+        return { upstream, aheadTokens: held.aheadTokens, endHold: held.release };
+      held.release();
+    }
+  }
+  const placement = createPlacementContext(context, pool, prefillLoads, excluded);
+  const [upstream] = rankPrefill(candidates, placement, dataCentre);
+  if (upstream === undefined) return undefined;
+  return { upstream, aheadTokens: prefillLoads.tokens(upstream.id), endHold: () => {} };
+}
+
 /**
  * Prefills the prompt of a request on a prefill engine. The first call that an engine accepts does
  * not use the retry budget. A failed call counts as a retry, whether another prefill or the run
@@ -65,22 +116,23 @@
   const maxWaitMs = route.targetMs * maxWaitShare;
   let attempts = 0;
   while (attempts < MAX_PREFILL_ATTEMPTS && !signal.aborted) {
-    const placement = createPlacementContext(context, pool, prefillLoads, excluded);
-    const ranked = rankPrefill(
-      listPrefillCandidates(context, pool.id, reservation),
-      placement,
-      reservation.upstream.dataCentre,
-    );
-    const [upstream] = ranked;
-    if (upstream === undefined) return { kind: 'not_prefilled' };
-    const waitMs = context.prefillRate.waitMs(pool.id, prefillLoads.tokens(upstream.id));
-    if (waitMs > maxWaitMs) return { kind: 'not_prefilled' };
+    const choice = await choosePrefill(context, admitted, reservation, excluded);
+    if (choice === undefined) return { kind: 'not_prefilled' };
+    const { upstream, aheadTokens, endHold } = choice;
+    if (context.prefillRate.waitMs(pool.id, aheadTokens) > maxWaitMs) {
+      endHold();
+      return { kind: 'not_prefilled' };
+    }
     excluded.add(upstream.id);
     const coldPermit = coldLimit.take(upstream, pool.coldRequestsPerSecond);
-    if (coldPermit === undefined) continue;
+    if (coldPermit === undefined) {
+      endHold();
+      continue;
+    }
     const permit = await context.permits.acquire(upstream, createPermitAsk(admitted));
     if (!permit.isGranted) {
       coldPermit.release();
+      endHold();
       continue;
     }
     attempts += 1;
@@ -108,6 +160,7 @@
     else versionRun.end(isBroken ? 'failed' : 'none');
     limit.stop();
     release();
+    endHold();
     if (result.isOk()) {
       health.recordSuccess(upstream);
       context.prefillWork.record(pool.id, monotonicMs() - startedAt);
--- a/packages/serving/src/request-permits.ts
+++ b/packages/serving/src/request-permits.ts
@@ -4,8 +4,9 @@
  * reach. It is selected by hash among the nodes in the upstream's data centre. While the granter
  * does not answer, each node uses its equal share of the rate.
  */
-import { monotonicMs, rankByRendezvous } from '@hibiscusbank/core';
+import { monotonicMs } from '@hibiscusbank/core';
 import type { Telemetry } from '@hibiscusbank/core';
+import { createGranterSelection } from './granter-selection.js';
 import { isNonNegative, isPort } from './message-values.js';
 import type { PeerDatagrams } from './peer-datagrams.js';
 import type { KnownPeer } from './peer-reports.js';
@@ -17,8 +18,6 @@
 
 /** Time-out of an ask; nodes answer within a round trip. */
 const ASK_TIMEOUT_MS = 120;
-/** Time for which a node that did not answer is not asked again. */
-const UNANSWERED_PAUSE_MS = 1_000;
 
 /** Time over which the rate of permits that this node gets is measured. */
 const RATE_WINDOW_MS = 4_000;
@@ -108,11 +107,11 @@
 /** Creates the permits of one node. */
 export function createRequestPermits(options: RequestPermitsOptions): RequestPermits {
   const { self, limits, datagrams, telemetry } = options;
+  const granters = createGranterSelection(options);
   const grants = createPermitGrants(GRANTER_POOL);
   const ownShares = createPermitGrants(OWN_SHARE_POOL);
   const grantedAt = new Map<string, number[]>();
   const waiting = new Map<number, (answer: AnswerMessage['permitAnswer']) => void>();
-  const pausedUntil = new Map<string, number>();
   /** Time before which the granter has no permit for an upstream. */
   const nextPermitAt = new Map<string, number>();
   let lastId = 0;
@@ -125,25 +124,6 @@
     return recent;
   };
 
-  const isPaused = (node: string): boolean => {
-    if (options.isSilent(node)) return true;
-    const until = pausedUntil.get(node);
-    if (until === undefined) return false;
-    if (monotonicMs() < until) return true;
-    pausedUntil.delete(node);
-    return false;
-  };
-
-  const findGranter = (upstream: string, dataCentre: string): KnownPeer => {
-    const all = [self, ...options.peers().filter(({ node }) => !isPaused(node))];
-    const local = all.filter((peer) => peer.dataCentre === dataCentre);
-    const candidates = new Map(
-      (local.length > 0 ? local : all).map((peer) => [peer.node, peer] as const),
-    );
-    const [first] = rankByRendezvous(upstream, [...candidates.keys()]);
-    return candidates.get(first ?? '') ?? self;
-  };
-
   const grant = (upstream: string, perSecond: number, ask: PermitAsk): PermitDecision =>
     // On each side of a partition another node grants; together they keep to the limit.
     grants.decide(upstream, perSecond * options.reachableShare(), ask);
@@ -165,7 +145,7 @@
         resolve(answer);
       };
       const timer = setTimeout(() => {
-        pausedUntil.set(granter.node, monotonicMs() + UNANSWERED_PAUSE_MS);
+        granters.pause(granter.node);
         finish(undefined);
       }, ASK_TIMEOUT_MS);
       waiting.set(id, (answer) => {
@@ -187,7 +167,7 @@
     ask: PermitAsk,
   ): Promise<PermitDecision> => {
     const { id } = upstream;
-    const granter = findGranter(id, upstream.dataCentre);
+    const granter = granters.find(id, upstream.dataCentre);
     if (granter.node === self.node) return grant(id, perSecond, ask);
     const statement = limits.describe(upstream);
     if (statement === undefined) return GRANTED;
@@ -205,7 +185,7 @@
     const { id, from, statement, dataCentre } = ask;
     limits.applyReport([statement]);
     const key = { id: statement.upstream as ServingUpstream['id'], startedAt: statement.startedAt };
-    const isGranter = findGranter(statement.upstream, dataCentre).node === self.node;
+    const isGranter = granters.find(statement.upstream, dataCentre).node === self.node;
     const perSecond = limits.find(key);
     let decision: PermitDecision = { isGranted: false, waitMs: 0, nextMs: 0 };
     if (isGranter) decision = perSecond === undefined ? GRANTED : grant(key.id, perSecond, ask);
--- a/packages/serving/src/reserve-engine.ts
+++ b/packages/serving/src/reserve-engine.ts
@@ -1,6 +1,8 @@
 /** Reserves memory and a slot on a decode engine, asking the least loaded engines first. */
 import { monotonicMs } from '@hibiscusbank/core';
 import type { PoolId, UpstreamId } from '@hibiscusbank/core';
+import { err, ok } from 'neverthrow';
+import type { Result } from 'neverthrow';
 import { createPermitAsk, createPlacementContext, listCandidates } from './context.js';
 import type { AdmittedRequest, EngineReservation, ServingContext } from './context.js';
 import type { KnownUpstream } from './directory.js';
@@ -58,6 +60,61 @@
   return Math.max(limitedMs, unavailable.returnMs(engines));
 }
 
+/** Why an engine was not reserved: it or a limit refused, or it did not answer. */
+type ReservationFailure = 'refused' | 'silent';
+
+/** Reserves capacity on one engine. */
+export async function reserveOn(
+  context: ServingContext,
+  admitted: AdmittedRequest,
+  { reservationTtlMs }: EngineSettings,
+  upstream: KnownUpstream,
+  tokens: number,
+): Promise<Result<EngineReservation, ReservationFailure>> {
+  const { transport, loads, health, telemetry } = context;
+  const { pool, req, signal } = admitted;
+  const coldPermit = context.coldLimit.take(upstream, pool.coldRequestsPerSecond);
+  if (coldPermit === undefined) return err('refused');
+  const endLoad = loads.begin(upstream.id, tokens);
+  const release = (): void => {
+    endLoad();
+    coldPermit.release();
+  };
+  const limit = startTimeLimit(signal, RESERVE_TIMEOUT_MS);
+  const result = await transport.reserve(upstream, tokens, reservationTtlMs, limit.signal);
+  const expired = limit.isExpired();
+  limit.stop();
+  if (result.isOk()) {
+    const permit = await context.permits.acquire(upstream, createPermitAsk(admitted));
+    if (!permit.isGranted) {
+      release();
+      transport.dropReservation(upstream, result.value);
+      return err('refused');
+    }
+    telemetry.log('reservationGranted', {
+      request: req.id,
+      upstream: upstream.id,
+      tokens,
+      knownTokens: loads.tokens(upstream.id),
+      waitedMs: Math.round(monotonicMs() - admitted.startedAt),
+    });
+    return ok({ upstream, id: result.value, tokens, coldPermit, release });
+  }
+  release();
+  const { reason } = result.error;
+  if (expired || reason === 'unreachable' || reason === 'broken') {
+    health.recordFailure(upstream, reason === 'broken' ? 'answered' : 'no_response');
+  }
+  telemetry.log('reservationRefused', {
+    request: req.id,
+    upstream: upstream.id,
+    tokens,
+    reason: expired ? 'timeout' : reason,
+    knownTokens: loads.tokens(upstream.id),
+  });
+  return err(expired || reason === 'unreachable' ? 'silent' : 'refused');
+}
+
 /**
  * Reserves capacity on an engine. Resolves to `undefined` when no engine that was asked has free
  * capacity.
@@ -70,8 +127,8 @@
   excluded: ReadonlySet<UpstreamId>,
   missedTarget: boolean,
 ): Promise<EngineReservation | undefined> {
-  const { transport, loads, health, telemetry } = context;
-  const { pool, req, signal } = admitted;
+  const { loads } = context;
+  const { pool, signal } = admitted;
   const placement = createPlacementContext(context, pool, loads, excluded);
   const rank = (failed: ReadonlySet<UpstreamId>): readonly KnownUpstream[] =>
     rankDecode(listCandidates(context, admitted, failed), placement, {
@@ -90,50 +147,8 @@
   }
   for (const upstream of asked.slice(0, MAX_ENGINES_ASKED)) {
     if (signal.aborted) return undefined;
-    const coldPermit = context.coldLimit.take(upstream, pool.coldRequestsPerSecond);
-    if (coldPermit === undefined) continue;
-    const endLoad = loads.begin(upstream.id, tokens);
-    const release = (): void => {
-      endLoad();
-      coldPermit.release();
-    };
-    const limit = startTimeLimit(signal, RESERVE_TIMEOUT_MS);
-    const result = await transport.reserve(
-      upstream,
-      tokens,
-      engineSettings.reservationTtlMs,
-      limit.signal,
-    );
-    const expired = limit.isExpired();
-    limit.stop();
-    if (result.isOk()) {
-      const permit = await context.permits.acquire(upstream, createPermitAsk(admitted));
-      if (!permit.isGranted) {
-        release();
-        transport.dropReservation(upstream, result.value);
-        continue;
-      }
-      telemetry.log('reservationGranted', {
-        request: req.id,
-        upstream: upstream.id,
-        tokens,
-        knownTokens: loads.tokens(upstream.id),
-        waitedMs: Math.round(monotonicMs() - admitted.startedAt),
-      });
-      return { upstream, id: result.value, tokens, coldPermit, release };
-    }
-    release();
-    const { reason } = result.error;
-    if (expired || reason === 'unreachable' || reason === 'broken') {
-      health.recordFailure(upstream, reason === 'broken' ? 'answered' : 'no_response');
-    }
-    telemetry.log('reservationRefused', {
-      request: req.id,
-      upstream: upstream.id,
-      tokens,
-      reason: expired ? 'timeout' : reason,
-      knownTokens: loads.tokens(upstream.id),
-    });
+    const reserved = await reserveOn(context, admitted, engineSettings, upstream, tokens);
+    if (reserved.isOk()) return reserved.value;
   }
   return undefined;
 }
--- a/packages/serving/src/serve-plain.ts
+++ b/packages/serving/src/serve-plain.ts
@@ -4,6 +4,7 @@
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import { sendError, sendBuffered } from './responses.js';
+import type { Refusal } from './allocation/index.js';
 import type { ColdPermit } from './cold-limit.js';
 import { choosePlain } from './choose-plain.js';
 import { organisationOf, remainingMs } from './context.js';
@@ -118,6 +119,7 @@
   const excluded = new Set<UpstreamId>();
   const mayRetry = route.kind === 'idempotent';
   let runs = 0;
+  let refusedBy: Refusal | undefined;
   let retryAfterMs = PLAIN_RETRY_AFTER_MS;
   let effect: 'not_run' | 'unknown' = 'not_run';
   let lastResponse: PlainResponse | undefined;
@@ -125,14 +127,15 @@
   let lastFailure: SendFailure = { effect: 'not_run', wasSent: false, reason: 'unreachable' };
 
   for (let sends = 0; sends < MAX_SENDS && !signal.aborted; sends += 1) {
-    const choice = await choosePlain(context, admitted, excluded);
+    const choice = await choosePlain(context, admitted, excluded, refusedBy);
     if (choice.kind === 'limited') retryAfterMs = choice.retryAfterMs;
     if (choice.kind !== 'chosen') break;
-    const { upstream, alternative, coldPermit } = choice;
+    const { upstream, alternative, coldPermit, release } = choice;
     blocked = context.crashProtection.findBlocked(req);
     const isRetry = sends > 0 && lastFailure.wasSent;
     if (blocked !== undefined || (isRetry && !retryBudget.take(pool.id))) {
       coldPermit.release();
+      release();
       break;
     }
     // A send is aborted early only when a retry can follow.
@@ -144,6 +147,7 @@
     const limitMs = mayRetryElsewhere ? route.targetMs * RETRY_TARGET_SHARE : remainingMs(admitted);
     const startedAt = monotonicMs();
     const result = await sendOnce(context, admitted, upstream, coldPermit, limitMs);
+    release();
     const ms = monotonicMs() - startedAt;
     telemetry.log('upstreamAnswered', {
       request: req.id,
@@ -171,7 +175,10 @@
     }
     lastFailure = result.error;
     if (lastFailure.reason === 'moved') context.moved.record(upstream);
-    if (lastFailure.effect === 'not_run') continue;
+    if (lastFailure.effect === 'not_run') {
+      refusedBy = { upstream: upstream.id, isAlive: !gotNoResponse(lastFailure) };
+      continue;
+    }
     effect = 'unknown';
     runs += 1;
     if (!mayRetry || runs >= route.maxAttempts) break;
--- a/packages/serving/src/serving-gateway.ts
+++ b/packages/serving/src/serving-gateway.ts
@@ -102,11 +102,12 @@
     if (engine === undefined) {
       const used = usable.reduce((sum, { id }) => sum + context.loads.requests(id), 0);
       const capacity = usable.reduce((sum, { slots }) => sum + (slots ?? 0), 0);
-      return hasFreeCapacity({ waiting: 0, used, capacity }, 1);
+      const waiting = context.allocation.waiting(pool.id);
+      return hasFreeCapacity({ waiting, used, capacity }, 1);
     }
     const decode = usable.filter(({ role }) => role === 'decode');
     const used = decode.reduce((sum, { id }) => sum + context.loads.tokens(id), 0);
-    const waiting = context.queueFor(pool.id).size();
+    const waiting = context.queueFor(pool.id).size() + context.allocation.waiting(pool.id);
     return hasFreeCapacity(
       { waiting, used, capacity: decode.length * engine.memoryTokens },
       tokens,
--- a/packages/serving/src/serving-node.ts
+++ b/packages/serving/src/serving-node.ts
@@ -1,7 +1,6 @@
 /** Assembles a node that serves requests on the platform. */
 import { dataCentreId, monotonicMs } from '@hibiscusbank/core';
 import type { UpstreamId } from '@hibiscusbank/core';
-import { createLease } from '@hibiscusbank/object-api';
 import { createChangeNotices } from './change-notices.js';
 import { createChangingRoles } from './changing-roles.js';
 import { createColdLimit } from './cold-limit.js';
@@ -9,26 +8,22 @@
 import { createCrashProtection } from './crash-protection.js';
 import { computeReachableShare, createDataCentreContact } from './data-centre-contact.js';
 import { createDirectory } from './directory.js';
-import { computeReturnMs } from './drain-admission.js';
 import { createDrainTime } from './drain-time.js';
 import { createEnginePace } from './engine-pace.js';
 import { createEngineQueues } from './engine-queues.js';
 import { createLivePeers, mergePeers } from './live-peers.js';
-import { createLeaseHistory, createLeaseObjects } from './lease-objects.js';
+import { createLeaseFactory } from './lease-objects.js';
 import { createMovedUpstreams } from './moved-upstreams.js';
+import { createNodeAllocation } from './node-allocation.js';
 import { createNodeDrain } from './node-drain.js';
 import { createNodeRegistry } from './node-registry.js';
+import { createNodeReports } from './node-reports.js';
 import { createNodeServers } from './node-servers.js';
 import { createOrganisationQuota } from './organisation-quota.js';
 import { createPeerDatagrams } from './peer-datagrams.js';
 import { createPeerLists } from './peer-lists.js';
 import { createPeerMessages } from './peer-messages.js';
-import {
-  createPeerReports,
-  isLargeFleet,
-  localReportIntervalMs,
-  remoteTimeoutMs,
-} from './peer-reports.js';
+import { isLargeFleet, localReportIntervalMs, remoteTimeoutMs } from './peer-reports.js';
 import type { KnownPeer } from './peer-reports.js';
 import { createPrefillRate } from './prefill-rate.js';
 import { createPrefillWork } from './prefill-work.js';
@@ -192,59 +187,27 @@
     telemetry,
   });
 
-  const reports = createPeerReports({
+  const reports = createNodeReports({
     self,
     startedAt,
     livePeers,
     datagrams,
-    peers: recipients,
-    telemetry,
-    readLocalState: () => ({
-      isConnected: feeds.isConnected(),
-      isReady: isReady(),
-      returnsInMs: drainTime.isDraining() ? computeReturnMs(drainTime.leftMs()) : undefined,
-      decode: loads.localReport(),
-      prefill: prefillLoads.localReport(),
-      spent: quota.spent(),
-      spentNearby: quota.spentNearby(),
-      revisions: feeds.revisions(),
-      changing: changing.localOrders(),
-      prefillMs: prefillWork.localTotals(),
-      quarantined: crashProtection.report(),
-      limits: limits.report(),
-      leaving: unavailable.report(),
-    }),
-    beforeRound: () => {
-      watcherSelection.check();
-      const silent = contact.check();
-      silent.forEach(quota.markAbsent);
-      for (const { node, dataCentre } of registry.peers()) {
-        if (dataCentre !== undefined && silent.includes(dataCentre)) quota.markAbsent(node);
-      }
-    },
-    onReport: (report) => {
-      contact.record(report.dataCentre);
-      feeds.confirm(report.revisions);
-      lists.checkRevisions();
-      loads.applyPeer(report.node, report.decode);
-      prefillLoads.applyPeer(report.node, report.prefill);
-      prefillWork.applyPeer(report.node, report.startedAt, report.prefillMs);
-      quota.applyReport(report);
-      crashProtection.applyReport(report.quarantined);
-      limits.applyReport(report.limits);
-      unavailable.applyReport(report.leaving);
-    },
-    onTimeout: (node) => {
-      quota.markAbsent(node);
-      loads.dropPeer(node);
-      prefillLoads.dropPeer(node);
-    },
-  });
-
-  const receive = createPeerMessages({
-    handlers: [limits.receive, rollouts.receive, crashProtection.receive, reports.receive],
-    onLeaving: (leaving) => unavailable.applyReport([leaving]),
-    onChange: ({ notice, delta }) => feeds.byKind[notice]?.apply(delta),
+    recipients,
+    feeds,
+    lists,
+    isReady,
+    drainTime,
+    loads,
+    prefillLoads,
+    prefillWork,
+    quota,
+    changing,
+    crashProtection,
+    limits,
+    unavailable,
+    watcherSelection,
+    contact,
+    registry,
     telemetry,
   });
 
@@ -254,14 +217,12 @@
     reachesMajority,
     isRollingOut: rollouts.isRunning,
     changing,
-    lease: (key) =>
-      createLease({
-        objectApi: createLeaseObjects(stores.leases),
-        history: createLeaseHistory(options.era),
-        key,
-        holder: self.node,
-        telemetry,
-      }),
+    lease: createLeaseFactory({
+      store: stores.leases,
+      era: options.era,
+      holder: self.node,
+      telemetry,
+    }),
     directory,
     loads,
     prefillLoads,
@@ -271,6 +232,20 @@
     telemetry,
   });
 
+  const allocation = createNodeAllocation({
+    self,
+    dataCentre: options.dataCentre,
+    peers: recipients,
+    isSilent: livePeers.hasTimedOut,
+    isActive: (pool) => isLargeFleet(registry.names().length) && !rollouts.isRunning(pool),
+    directory,
+    // The context is complete before the first message arrives.
+    // eslint-disable-next-line @typescript-eslint/no-use-before-define
+    context: () => context,
+    datagrams,
+    telemetry,
+  });
+
   const context: ServingContext = {
     dataCentre: dataCentreId(options.dataCentre),
     directory,
@@ -285,6 +260,7 @@
     unavailable,
     coldLimit,
     rollouts,
+    allocation,
     health,
     moved: createMovedUpstreams(),
     pace,
@@ -306,6 +282,19 @@
     telemetry,
     random: Math.random,
   };
+  const receive = createPeerMessages({
+    handlers: [
+      limits.receive,
+      allocation.receive,
+      rollouts.receive,
+      crashProtection.receive,
+      reports.receive,
+    ],
+    onLeaving: (leaving) => unavailable.applyReport([leaving]),
+    onChange: ({ notice, delta }) => feeds.byKind[notice]?.apply(delta),
+    telemetry,
+  });
+
   const gateway = createServingGateway({ context, readRequest: options.readRequest });
 
   const servers = createNodeServers({
@@ -330,6 +319,7 @@
       stopping.abort();
       reports.stop();
       watcherSelection.stop();
+      allocation.stop();
       datagrams.stop();
       lists.stop();
     },
@@ -343,6 +333,7 @@
       await startListeners([...servers.listeners, datagramListener], telemetry);
       isListening = true;
       reports.start();
+      allocation.start();
       feeds.run(stopping.signal);
       void registry.run(stopping.signal);
       void roleOrders.run(stopping.signal);
--- a/packages/serving/src/wait-for-reservation.ts
+++ b/packages/serving/src/wait-for-reservation.ts
@@ -3,6 +3,7 @@
 import type { RouterError } from '@hibiscusbank/core';
 import { err } from 'neverthrow';
 import type { Result } from 'neverthrow';
+import { allocateEngine } from './allocate-capacity.js';
 import { computeNeededMs, remainingMs } from './context.js';
 import type { EngineReservation, ServingContext } from './context.js';
 import { describeDraining, describeLimited } from './failures.js';
@@ -29,6 +30,7 @@
     remainingMs: remainingMs(admitted),
     hasEvents: state.progress.hasEvents,
   });
+  const startedAt = monotonicMs();
   const queue = context.queueFor(pool.id);
   const limitedWaitMs = estimateLimitedWaitMs(context, pool.id, queue.size());
   if (limitedWaitMs > plan.maxWaitMs && !state.progress.hasEvents) {
@@ -42,19 +44,33 @@
   const stopWatch = state.progress.hasEvents
     ? () => {}
     : context.drain.onTooLate(computeNeededMs(context, admitted), endWait);
-  const result = await queue.wait({
-    organisation: organisation?.id ?? '',
-    cost: tokens,
-    onTargetMs: plan.onTargetMs,
-    maxWaitMs: plan.maxWaitMs,
-    signal: waiting.signal,
-    reserve: (missedTarget) =>
-      reserveEngine(context, admitted, engineSettings, tokens, failedDecode, missedTarget),
-    release: (reservation) => {
-      reservation.release();
-      context.transport.dropReservation(reservation.upstream, reservation.id);
-    },
-  });
+  const allocated = context.allocation.isActive(pool.id)
+    ? await allocateEngine(
+        context,
+        admitted,
+        engineSettings,
+        tokens,
+        plan,
+        failedDecode,
+        waiting.signal,
+      )
+    : undefined;
+  const passedMs = monotonicMs() - startedAt;
+  const result =
+    allocated ??
+    (await queue.wait({
+      organisation: organisation?.id ?? '',
+      cost: tokens,
+      onTargetMs: Math.max(0, plan.onTargetMs - passedMs),
+      maxWaitMs: Math.max(0, plan.maxWaitMs - passedMs),
+      signal: waiting.signal,
+      reserve: (missedTarget) =>
+        reserveEngine(context, admitted, engineSettings, tokens, failedDecode, missedTarget),
+      release: (reservation) => {
+        reservation.release();
+        context.transport.dropReservation(reservation.upstream, reservation.id);
+      },
+    }));
   stopWatch();
   signal.removeEventListener('abort', endWait);
   const isTooLate = result.isErr() && waiting.signal.aborted && !signal.aborted;
