Bound the memory, work and connections that callers take

Cause: a node read every body whole, whatever the others took, and had no limit on connections, on the time of a body or on work for each chunk. In a process with the heap limit of the deploy file 150 bodies of 1 MB that stop short took 243 to 284 MB, 60 bodies in chunks of one byte left an ordinary caller without an answer, 500 connections took 532 descriptors.

Change: packages/serving/src/memory. Bodies reserve their memory in one budget of the machine's memory; those that stall are given up for others, the largest first; new ones wait, then are refused as not run. At most four bodies in very small chunks at a time, a time limit for bodies, limits on connections and on incomplete heads, refused bodies are discarded up to 256 KiB. Settings `limits` are read for it.

Ruled out: counting what has arrived instead of the stated length (all bodies get stuck), pausing bodies in small chunks (each keeps about 1 MB).

Responses that callers do not read are not bounded together yet.

--- a/packages/core/src/byte-collector.ts
+++ b/packages/core/src/byte-collector.ts
@@ -19,9 +19,12 @@
   take(): Buffer;
 }
 
-/** Creates an empty collector. */
-export function createByteCollector(): ByteCollector {
-  let buffer = Buffer.alloc(0);
+/**
+ * Creates an empty collector. With `expectedBytes` it does not grow up to that length; the memory is not
+ * resident before bytes arrive.
+ */
+export function createByteCollector(expectedBytes = 0): ByteCollector {
+  let buffer = Buffer.allocUnsafeSlow(expectedBytes);
   let length = 0;
   let chunks = 0;
   return {
--- a/packages/core/src/events.ts
+++ b/packages/core/src/events.ts
@@ -164,6 +164,8 @@
   rolloutStep: defineEvent(1838, 'info', 'next step of a roll-out'),
   rolloutReported: defineEvent(1839, 'info', 'state of a roll-out written to the store'),
   allocationRefused: defineEvent(1840, 'info', 'no capacity for a request in its time'),
+  connectionsDropped: defineEvent(1841, 'warn', 'connections of callers closed; too many are open'),
+  bodyRefused: defineEvent(1842, 'info', 'body of a caller refused'),
   settingsReloaded: defineEvent(1816, 'info', 'settings reloaded'),
 
   invariantViolated: defineEvent(1901, 'error', 'invariant violated'),
--- a/packages/core/src/metrics.ts
+++ b/packages/core/src/metrics.ts
@@ -92,6 +92,17 @@
       help: 'Prompt parts in quarantine because upstreams ended under them',
       registers,
     }),
+    refusedBodies: new Counter({
+      name: 'hibiscusbank_refused_bodies_total',
+      help: 'Bodies of callers that were refused, by reason (memory, small_chunks, time or size)',
+      labelNames: ['reason'],
+      registers,
+    }),
+    droppedConnections: new Counter({
+      name: 'hibiscusbank_dropped_connections_total',
+      help: 'Connections of callers that were closed at once, since too many were open',
+      registers,
+    }),
     allocations: new Counter({
       name: 'hibiscusbank_allocations_total',
       help: 'Requests for capacity that this node decided for the fleet, by pool and outcome (granted or refused)',
--- a/packages/gateway/src/http-server.ts
+++ b/packages/gateway/src/http-server.ts
@@ -5,6 +5,9 @@
 import { monotonicMs } from '@hibiscusbank/core';
 import { getRequestListener } from '@hono/node-server';
 
+/** Interval in which connections without a complete head are looked for. */
+const HEAD_CHECK_INTERVAL_MS = 2_000;
+
 export interface HttpServer {
   /** Starts to listen; rejects if the address is in use, and may be called again then. */
   start(): Promise<void>;
@@ -21,6 +24,12 @@
 export interface HttpServerOptions {
   /** Returns the idle time after which a connection is closed; called for each new connection. */
   readonly idleTimeoutMs?: () => number;
+  /** Returns the time after which a connection without a complete head is closed. */
+  readonly headTimeoutMs?: () => number;
+  /** Connections that are open at a time; further ones are closed at once. */
+  readonly maxConnections?: number;
+  /** Called for each connection beyond `maxConnections`. */
+  readonly onDrop?: () => void;
   /** Called with errors of the listener after its start, as when the process has no file descriptors left. */
   readonly onError?: (error: Error) => void;
 }
@@ -48,13 +57,25 @@
     start: () =>
       new Promise((resolve, reject) => {
         const listener = getRequestListener(fetch, { overrideGlobalObjects: false });
-        server = createServer((req, res) => {
-          void listener(req, res);
-        });
+        server = createServer(
+          { connectionsCheckingInterval: HEAD_CHECK_INTERVAL_MS },
+          (req, res) => {
+            void listener(req, res);
+          },
+        );
         server.on('connection', () => {
           lastConnectionAt = monotonicMs();
         });
-        const { idleTimeoutMs } = options;
+        const { idleTimeoutMs, headTimeoutMs, maxConnections, onDrop } = options;
+        if (maxConnections !== undefined) server.maxConnections = maxConnections;
+        if (onDrop !== undefined) server.on('drop', onDrop);
+        if (headTimeoutMs !== undefined) {
+          const newServer = server;
+          newServer.headersTimeout = headTimeoutMs();
+          newServer.on('connection', () => {
+            newServer.headersTimeout = headTimeoutMs();
+          });
+        }
         if (idleTimeoutMs !== undefined) {
           const newServer = server;
           newServer.keepAliveTimeout = idleTimeoutMs();
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -5,4 +5,4 @@
 export { createHttpServer } from './http-server.js';
 export type { HttpServer, HttpServerOptions } from './http-server.js';
 export * from './types.js';
-export { readBody } from './read-body.js';
+export { declaredBytes, readBody } from './read-body.js';
--- /dev/null
+++ b/packages/serving/src/memory/read-caller-body.ts
@@ -0,0 +1,203 @@
+/** Reads the bodies of callers within the memory and work that this node has for them. */
+import type { IncomingMessage } from 'node:http';
+import { createByteCollector, createError, monotonicMs } from '@hibiscusbank/core';
+import type { RouterError, Telemetry } from '@hibiscusbank/core';
+import { declaredBytes } from '@hibiscusbank/gateway';
+import { err, ok } from 'neverthrow';
+import type { Result } from 'neverthrow';
+import type { BodyBudget, BodyHold } from './body-budget.js';
+
+/** Maximum wait of a body for memory; callers retry a refusal sooner than they lose patience. */
+const MAX_WAIT_MS = 2_000;
+const WAIT_CHECK_MS = 50;
+/** Memory by which the reservation of a body without a stated length grows at least. */
+const MIN_GROWTH_BYTES = 16_384;
+/** Chunks, and their mean size, from which a body counts as one in very small chunks. */
+const MANY_CHUNKS = 2_000;
+const SMALL_CHUNK_BYTES = 64;
+/**
+ * Bodies in very small chunks that are read at a time. Each read of such a body keeps the process busy
+ * for about 10 ms.
+ */
+const MAX_SMALL_CHUNK_BODIES = 4;
+/** Retry delay for callers whose body found no memory. */
+const RETRY_AFTER_MS = 1_000;
+
+/** A body in memory. */
+export interface CallerBody {
+  readonly bytes: Buffer;
+  /** Called when the request has ended. */
+  release(): void;
+}
+
+export interface BodyLimits {
+  readonly maxBytes: number;
+  readonly timeLimitMs: number;
+}
+
+export interface CallerBodies {
+  /**
+   * Reads a whole body. Errors, all before the request ran: `body_too_large`, `no_capacity`,
+   * and `cancelled` if the caller disconnected. After an error the rest of the body is unread.
+   */
+  read(incoming: IncomingMessage, limits: BodyLimits): Promise<Result<CallerBody, RouterError>>;
+}
+
+/** Why a body was refused. */
+type RefusalReason = 'memory' | 'small_chunks' | 'time' | 'size';
+
+interface Refusal {
+  readonly reason: RefusalReason;
+  readonly error: RouterError;
+}
+
+function notRun(message: string): RouterError {
+  const options = { effect: 'not_run', retryAfterMs: RETRY_AFTER_MS } as const;
+  return createError('no_capacity', message, options);
+}
+
+const shortOfMemory = (): Refusal => ({
+  reason: 'memory',
+  error: notRun('no memory for the body at the moment; retry later'),
+});
+
+const tooSmallChunks = (): Refusal => ({
+  reason: 'small_chunks',
+  error: notRun('too many bodies in very small chunks; send larger chunks, or retry later'),
+});
+
+const tooLate = (): Refusal => ({
+  reason: 'time',
+  error: notRun('the body did not arrive in time; send it faster'),
+});
+
+const tooLarge = (maxBytes: number): Refusal => ({
+  reason: 'size',
+  error: createError('body_too_large', `the body exceeds ${maxBytes} bytes; send less`, {
+    effect: 'not_run',
+  }),
+});
+
+/** Creates the reader of one node. */
+export function createCallerBodies(budget: BodyBudget, telemetry: Telemetry): CallerBodies {
+  let smallChunkBodies = 0;
+
+  const countRefusal = (reason: RefusalReason, received: number): void => {
+    telemetry.metrics.refusedBodies.inc({ reason });
+    telemetry.log('bodyRefused', { reason, received, reserved: budget.reservedBytes() });
+  };
+
+  const collect = (
+    incoming: IncomingMessage,
+    hold: BodyHold,
+    limits: BodyLimits,
+    onGiveUp: (giveUp: (refusal: Refusal) => void) => void,
+  ): Promise<Result<Buffer, RouterError>> =>
+    new Promise((resolve) => {
+      const declared = declaredBytes(incoming) ?? 0;
+      const body = createByteCollector(declared);
+      let chunks = 0;
+      let isInSmallChunks = false;
+      let waitTimer: NodeJS.Timeout | undefined;
+      let endWait: (() => void) | undefined;
+      let isOver = false;
+      let detach = (): void => {};
+      let limitTimer: NodeJS.Timeout | undefined;
+
+      const finish = (result: Result<Buffer, RouterError>): void => {
+        if (isOver) return;
+        isOver = true;
+        clearTimeout(waitTimer);
+        clearTimeout(limitTimer);
+        endWait?.();
+        if (isInSmallChunks) smallChunkBodies -= 1;
+        detach();
+        // What the caller sends after a refusal must not be kept.
+        if (result.isErr()) incoming.pause();
+        resolve(result);
+      };
+      const refuse = ({ reason, error }: Refusal): void => {
+        if (!isOver) countRefusal(reason, body.length());
+        finish(err(error));
+      };
+
+      const countChunk = (): void => {
+        chunks += 1;
+        if (isInSmallChunks || chunks < MANY_CHUNKS) return;
+        if (body.length() / chunks >= SMALL_CHUNK_BYTES) return;
+        if (smallChunkBodies >= MAX_SMALL_CHUNK_BODIES) {
+          refuse(tooSmallChunks());
+          return;
+        }
+        isInSmallChunks = true;
+        smallChunkBodies += 1;
+      };
+
+      /** Waits with the socket paused until the body may grow to `bytes`. */
+      const waitForRoom = (bytes: number): void => {
+        endWait = budget.beginWait();
+        if (endWait === undefined) {
+          refuse(shortOfMemory());
+          return;
+        }
+        incoming.pause();
+        const until = monotonicMs() + MAX_WAIT_MS;
+        const check = (): void => {
+          if (hold.reserve(bytes)) {
+            endWait?.();
+            endWait = undefined;
+            incoming.resume();
+          } else if (monotonicMs() >= until) refuse(shortOfMemory());
+          else waitTimer = setTimeout(check, WAIT_CHECK_MS);
+        };
+        waitTimer = setTimeout(check, WAIT_CHECK_MS);
+      };
+
+      const onData = (chunk: Buffer): void => {
+        hold.recordProgress(chunk.length);
+        if (body.length() + chunk.length > limits.maxBytes) {
+          refuse(tooLarge(limits.maxBytes));
+          return;
+        }
+        body.append(chunk);
+        countChunk();
+        if (isOver || endWait !== undefined) return;
+        const needed = Math.max(MIN_GROWTH_BYTES, body.capacity());
+        if (!hold.reserve(needed)) waitForRoom(needed);
+      };
+      const onEnd = (): void => finish(ok(body.take()));
+      const onClose = (): void =>
+        finish(
+          err(
+            createError('cancelled', 'the caller disconnected while sending the body', {
+              effect: 'not_run',
+            }),
+          ),
+        );
+
+      detach = () => {
+        incoming.off('data', onData).off('end', onEnd).off('close', onClose).off('error', onClose);
+      };
+      limitTimer = setTimeout(() => refuse(tooLate()), limits.timeLimitMs);
+      onGiveUp(refuse);
+      incoming.on('data', onData).on('end', onEnd).on('close', onClose).on('error', onClose);
+      if (declared > 0 && !hold.reserve(declared)) waitForRoom(declared);
+    });
+
+  return {
+    read: async (incoming, limits) => {
+      if ((declaredBytes(incoming) ?? 0) > limits.maxBytes) {
+        countRefusal('size', 0);
+        return err(tooLarge(limits.maxBytes).error);
+      }
+      let giveUp: (refusal: Refusal) => void = () => {};
+      const hold = budget.open(() => giveUp(shortOfMemory()));
+      const result = await collect(incoming, hold, limits, (register) => {
+        giveUp = register;
+      });
+      if (result.isErr()) hold.release();
+      else hold.complete();
+      return result.map((bytes) => ({ bytes, release: hold.release }));
+    },
+  };
+}
--- a/packages/serving/src/node-servers.ts
+++ b/packages/serving/src/node-servers.ts
@@ -1,4 +1,5 @@
 /** Creates the HTTP servers of a node: for callers, for readiness checks and for peers. */
+import { monotonicMs } from '@hibiscusbank/core';
 import type { Telemetry } from '@hibiscusbank/core';
 import { createHttpServer } from '@hibiscusbank/gateway';
 import type { HttpServer } from '@hibiscusbank/gateway';
@@ -15,12 +16,17 @@
  * close them first.
  */
 const IDLE_MARGIN_MS = 1_000;
+const DROP_LOG_INTERVAL_MS = 1_000;
 
 export interface NodeServersOptions {
   readonly addresses: Pick<ServingNodeOptions, 'callers' | 'readiness' | 'peers'>;
   readonly gateway: Pick<ServingGateway, 'serve'>;
   /** Returns the idle limit that callers observe. */
   readonly idleTimeoutMs: () => number;
+  /** Returns the time in which callers send the head of a request. */
+  readonly headerTimeoutMs: () => number;
+  /** Connections of callers that are open at a time. */
+  readonly maxConnections: number;
   readonly isReady: () => boolean;
   /** Handlers of what peers ask for. */
   readonly peerApps: readonly Hono[];
@@ -34,6 +40,16 @@
   readonly listeners: readonly Listener[];
 }
 
+/** Returns a function that logs refused connections, once a second at most. */
+function createDropLog(telemetry: Telemetry): () => void {
+  let loggedAt = -Infinity;
+  return () => {
+    if (monotonicMs() - loggedAt < DROP_LOG_INTERVAL_MS) return;
+    loggedAt = monotonicMs();
+    telemetry.log('connectionsDropped', {});
+  };
+}
+
 /** Creates the servers, which listen after they were started. */
 export function createNodeServers(options: NodeServersOptions): NodeServers {
   const { addresses, gateway, idleTimeoutMs, isReady, telemetry } = options;
@@ -46,8 +62,16 @@
   const peerApp = new Hono();
   for (const app of options.peerApps) peerApp.route('/', app);
   const onError = (error: Error): void => telemetry.log('listenerFailed', { error: error.message });
+  const logDrop = createDropLog(telemetry);
   const callers = createHttpServer(callerApp.fetch, addresses.callers, {
     idleTimeoutMs: () => idleTimeoutMs() + IDLE_MARGIN_MS,
+    // A connection may be idle before its first request, too.
+    headTimeoutMs: () => idleTimeoutMs() + options.headerTimeoutMs() + IDLE_MARGIN_MS,
+    maxConnections: options.maxConnections,
+    onDrop: () => {
+      telemetry.metrics.droppedConnections.inc();
+      logDrop();
+    },
     onError,
   });
   const readiness = createHttpServer(readinessApp.fetch, addresses.readiness, { onError });
--- a/packages/serving/src/serving-gateway.ts
+++ b/packages/serving/src/serving-gateway.ts
@@ -1,9 +1,10 @@
 /** Admits requests and passes them to the handler for their route. */
 import { createError, monotonicMs } from '@hibiscusbank/core';
 import type { PoolId, RouterError } from '@hibiscusbank/core';
-import { readBody } from '@hibiscusbank/gateway';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
+import { discardBody } from './memory/index.js';
+import type { CallerBodies } from './memory/index.js';
 import { hasFreeCapacity } from './free-capacity.js';
 import { describeDraining, describeQuarantine } from './failures.js';
 import { sendError } from './responses.js';
@@ -23,6 +24,7 @@
 
 export interface ServingGatewayOptions {
   readonly context: ServingContext;
+  readonly bodies: CallerBodies;
   /** Decodes the method, path and headers of a request. Errors: `invalid_request`. */
   readonly readRequest: (exchange: HttpExchange) => Result<ServingRequest, RouterError>;
 }
@@ -58,6 +60,11 @@
   return req.usage.promptTokens + req.usage.maxOutputTokens;
 }
 
+/** Returns the time from the arrival of a request to the end of its response, at most. */
+function computeLimitMs({ timeLimitMs }: ServingRoute, { maxWaitMs }: ServingRequest): number {
+  return Math.min(timeLimitMs, maxWaitMs ?? timeLimitMs);
+}
+
 /**
  * Closes a connection whose response started before the drain and therefore has no `Connection:
  * close`.
@@ -70,6 +77,7 @@
 /** Creates the gateway of a node. */
 export function createServingGateway({
   context,
+  bodies,
   readRequest,
 }: ServingGatewayOptions): ServingGateway {
   const { directory, drain, quota, retryBudget, telemetry } = context;
@@ -181,7 +189,7 @@
   ): Promise<void> => {
     const { outgoing } = exchange;
     const { route } = authorised;
-    const limitMs = Math.min(route.timeLimitMs, req.maxWaitMs ?? route.timeLimitMs);
+    const limitMs = computeLimitMs(route, req);
     const controller = new AbortController();
     const admitted: AdmittedRequest = {
       ...authorised,
@@ -234,8 +242,7 @@
     const refuse = (error: RouterError, id: string | undefined): void => {
       telemetry.log('requestRefused', { request: id, kind: error.kind, effect: 'not_run' });
       sendError(outgoing, error, 'not_run');
-      // The rest of the body must be consumed, or it would be parsed as the next request.
-      if (!incoming.complete) incoming.resume();
+      discardBody(incoming);
     };
     if (!directory.isComplete()) {
       const options = { effect: 'not_run', retryAfterMs: NOT_READY_RETRY_MS } as const;
@@ -253,16 +260,20 @@
       refuse(earlyCheck.error, req.id);
       return;
     }
-    const limit = directory.tables()?.limits.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES;
-    const body = await readBody(incoming, limit);
+    const body = await bodies.read(incoming, {
+      maxBytes: directory.tables()?.limits.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES,
+      timeLimitMs: computeLimitMs(earlyCheck.value.route, req),
+    });
     if (body.isErr()) {
-      if (body.error.kind === 'body_too_large') refuse(body.error, req.id);
+      if (body.error.kind !== 'cancelled') refuse(body.error, req.id);
       return;
     }
+    const { bytes, release } = body.value;
     // The configuration may have changed while the body arrived.
     const authorised = authorise(req);
     if (authorised.isErr()) refuse(authorised.error, req.id);
-    else await serveAdmitted(exchange, req, authorised.value, body.value, startedAt);
+    else await serveAdmitted(exchange, req, authorised.value, bytes, startedAt);
+    release();
   };
 
   return {
--- a/packages/serving/src/serving-node-options.ts
+++ b/packages/serving/src/serving-node-options.ts
@@ -2,6 +2,7 @@
 import type { RouterError, Telemetry } from '@hibiscusbank/core';
 import type { Result } from 'neverthrow';
 import type { HttpExchange } from './context.js';
+import type { Machine } from './memory/index.js';
 import type { QuotaTolerance } from './organisation-quota.js';
 import type { KnownPeer } from './peer-reports.js';
 import type { EntryDecoders, EntryStore, UpstreamTransport } from './ports.js';
@@ -50,6 +51,8 @@
   readonly bounds: KnowledgeBounds;
   /** Limits for versions that may be bad; `undefined` if operators order no roll-outs. */
   readonly rolloutBounds: RolloutBounds | undefined;
+  /** Limits of the machine, if they are known. */
+  readonly machine: Machine | undefined;
   /** Time between SIGTERM and the forced end of the process. */
   readonly graceMs: number;
   readonly telemetry: Telemetry;
--- a/packages/serving/src/serving-node.ts
+++ b/packages/serving/src/serving-node.ts
@@ -13,6 +13,7 @@
 import { createEngineQueues } from './engine-queues.js';
 import { createLivePeers, mergePeers } from './live-peers.js';
 import { createLeaseFactory } from './lease-objects.js';
+import { computeMemoryLimits, createBodyBudget, createCallerBodies } from './memory/index.js';
 import { createMovedUpstreams } from './moved-upstreams.js';
 import { createNodeAllocation } from './node-allocation.js';
 import { createNodeDrain } from './node-drain.js';
@@ -52,6 +53,7 @@
 /** Retry delay for callers whose request found no free memory in time. */
 const QUEUE_RETRY_AFTER_MS = 3_000;
 const DEFAULT_IDLE_MS = 20_000;
+const DEFAULT_HEADER_MS = 3_000;
 
 /** Creates a node; nothing runs before `start`. */
 export function createServingNode(options: ServingNodeOptions): ServingNode {
@@ -295,12 +297,16 @@
     telemetry,
   });
 
-  const gateway = createServingGateway({ context, readRequest: options.readRequest });
+  const { bodyBytes, maxConnections } = computeMemoryLimits(options.machine);
+  const bodies = createCallerBodies(createBodyBudget(bodyBytes), telemetry);
+  const gateway = createServingGateway({ context, bodies, readRequest: options.readRequest });
 
   const servers = createNodeServers({
     addresses: options,
     gateway,
     idleTimeoutMs: () => directory.tables()?.limits.idleTimeoutMs ?? DEFAULT_IDLE_MS,
+    headerTimeoutMs: () => directory.tables()?.limits.headerTimeoutMs ?? DEFAULT_HEADER_MS,
+    maxConnections,
     isReady,
     peerApps: [lists.app, crashProtection.app, rollouts.app],
     telemetry,
--- a/packages/serving/test/support/test-node.ts
+++ b/packages/serving/test/support/test-node.ts
@@ -308,6 +308,7 @@
       leaveDataCentreWithinMs: 5_000,
     },
     rolloutBounds: { exposeShare: 0.1, exposeSlack: 50 },
+    machine: undefined,
     graceMs: 8_000,
     telemetry: createTelemetry({ vm: name }, (_, context, text) => {
       events.push(`${text} ${JSON.stringify(context)}`);
