Read the registry of nodes in an outage as rarely as otherwise

Cause: a registered node repeated a failed read of the registry every 250 ms.

Change: only a node that is not registered yet reads every 250 ms.

--- a/packages/serving/src/node-registry.ts
+++ b/packages/serving/src/node-registry.ts
@@ -7,6 +7,7 @@
 
 /** Interval between two reads of the registry. */
 const READ_INTERVAL_MS = 2_000;
+/** The same until the node is registered. Later reads are not urgent, and an outage lasts for seconds. */
 const RETRY_INTERVAL_MS = 250;
 /** Minimum time without contact to another node after which this node removes that node's entry. */
 const MIN_REMOVE_AFTER_MS = 25_000;
@@ -92,10 +93,12 @@
     isRead: () => isRead,
     names: () => [self.node, ...peers.map(({ node }) => node)],
     run: async (signal) => {
+      let wasListed = false;
       while (!signal.aborted) {
         const isListed = await refresh();
-        const isRegistered = isListed || (await register());
-        await sleep(isRegistered && isListed ? READ_INTERVAL_MS : RETRY_INTERVAL_MS, signal);
+        wasListed ||= isListed;
+        if (!isListed) await register();
+        await sleep(wasListed ? READ_INTERVAL_MS : RETRY_INTERVAL_MS, signal);
       }
     },
   };
--- a/packages/serving/test/node-registry.test.ts
+++ b/packages/serving/test/node-registry.test.ts
@@ -43,3 +43,31 @@
 test('the entries of nodes that are gone are removed', async () => {
   expect(await countEntries(6, 60_000)).toBe(1);
 });
+
+// An outage of some seconds cost a large fleet thousands of calls.
+test('a registered node calls a store that is down as rarely as one that answers', async () => {
+  const store = createFakeStore();
+  const calls = { list: 0 };
+  const counting = {
+    ...store,
+    list: () => {
+      calls.list += 1;
+      return store.list();
+    },
+  };
+  const registry = createNodeRegistry({
+    self: { node: 'n0', host: '10.0.0.1', port: 0, dataCentre: 'a' },
+    store: counting,
+    telemetry: createTelemetry({}, () => {}),
+    isReachable: () => true,
+    peerTimeoutMs: () => 1_200,
+  });
+  const stopping = new AbortController();
+  void registry.run(stopping.signal);
+  await vi.advanceTimersByTimeAsync(4_000);
+  store.setDown(true);
+  calls.list = 0;
+  await vi.advanceTimersByTimeAsync(10_000);
+  stopping.abort();
+  expect(calls.list).toBeLessThanOrEqual(6);
+});
