Place requests by what upstreams still have to do and how fast they answer

Cause: upstreams were ranked by requests or tokens in use, and all counted alike, although machines of one pool differ in speed (0.6 to 1.6) or turn slow for seconds.

Change: packages/serving/src/costs.

Ruled out: means (one answer in a hundred takes five times as long), quantiles by sketches (too large for datagrams), speeds by node (too few observations), see docs/design/cost-aware-placement.md.

--- a/packages/serving/src/allocate-capacity.ts
+++ b/packages/serving/src/allocate-capacity.ts
@@ -126,7 +126,8 @@
         held.release();
         reservation.release();
       };
-      return ok({ ...reservation, release });
+      const observePause = (ms: number): void => held.observe('decode', ms, 1);
+      return ok({ ...reservation, release, observePause });
     }
     held.release();
     refusedBy = { upstream: upstream.id, isAlive: reserved.error !== 'silent' };
--- a/packages/serving/src/allocation/allocation-client.ts
+++ b/packages/serving/src/allocation/allocation-client.ts
@@ -1,6 +1,8 @@
 /** Asks allocators for capacity, and states what this node holds. */
 import { monotonicMs } from '@hibiscusbank/core';
 import type { UpstreamId } from '@hibiscusbank/core';
+import { createSpeedObserver } from '../costs/index.js';
+import type { SpeedObserver } from '../costs/index.js';
 import type { GranterSelection } from '../granter-selection.js';
 import type { PeerDatagrams } from '../peer-datagrams.js';
 import type { KnownPeer } from '../peer-reports.js';
@@ -34,6 +36,8 @@
   readonly upstream: UpstreamId;
   /** Tokens of other requests that the upstream had in use or queued. */
   readonly aheadTokens: number;
+  /** Records that the upstream took `ms` for work of `units` of a kind. */
+  observe(key: string, ms: number, units: number): void;
   /** Returns the capacity; may be called more than once. */
   release(): void;
 }
@@ -67,6 +71,7 @@
 interface CellHoldings {
   readonly key: CellKey;
   readonly byUpstream: Map<string, { requests: number; tokens: number }>;
+  readonly observer: SpeedObserver;
   lastGrant: number;
   isStatementDue: boolean;
 }
@@ -85,6 +90,7 @@
     const known = cells.get(key.id) ?? {
       key,
       byUpstream: new Map(),
+      observer: createSpeedObserver(),
       lastGrant: 0,
       isStatementDue: false,
     };
@@ -99,7 +105,9 @@
       requests,
       tokens,
     ]);
-    return { cell: cell.key.id, sequence, holdings, lastGrant: cell.lastGrant };
+    const { id } = cell.key;
+    const observed = cell.observer.take();
+    return { cell: id, sequence, holdings, lastGrant: cell.lastGrant, observed };
   };
 
   const findAllocator = ({ id, dataCentre }: CellKey): KnownPeer => granters.find(id, dataCentre);
@@ -137,6 +145,7 @@
     return {
       upstream: upstream as UpstreamId,
       aheadTokens,
+      observe: (key, ms, units) => cell.observer.observe(upstream, key, ms, units),
       release: () => {
         if (isReleased) return;
         isReleased = true;
--- a/packages/serving/src/allocation/allocation-order.ts
+++ b/packages/serving/src/allocation/allocation-order.ts
@@ -72,10 +72,14 @@
   return isAlone || use.tokens + tokens + free <= capacity.tokens * USABLE_MEMORY_SHARE;
 }
 
-/** Chooses the upstream with the lowest load on which a request fits. */
+/**
+ * Chooses the upstream on which a request fits and is likely to end first: with the lowest load after it,
+ * in relation to capacity and speed.
+ */
 export function chooseUpstream(
   candidates: readonly AllocationCandidate[],
   readUse: (candidate: AllocationCandidate) => CapacityUse,
+  readSpeed: (candidate: AllocationCandidate) => number,
   req: { readonly tokens: number; readonly dataCentre: string; readonly pastTarget: boolean },
 ): AllocationCandidate | undefined {
   let best: AllocationCandidate | undefined;
@@ -84,7 +88,9 @@
     const use = readUse(candidate);
     if (!fits(candidate, use, req.tokens, req.pastTarget)) continue;
     const bonus = candidate.dataCentre === req.dataCentre ? LOCAL_BONUS_SHARE : 0;
-    const score = loadOf(use, candidate.capacity) + candidate.penalty - bonus;
+    const after = { requests: use.requests + 1, tokens: use.tokens + req.tokens };
+    const load = loadOf(after, candidate.capacity) / readSpeed(candidate);
+    const score = load + candidate.penalty - bonus;
     if (score >= bestScore) continue;
     best = candidate;
     bestScore = score;
--- a/packages/serving/src/allocation/allocator.ts
+++ b/packages/serving/src/allocation/allocator.ts
@@ -1,6 +1,8 @@
 /** Allocates the capacity of cells: grants upstreams to requests, and keeps those that have to wait. */
 import { monotonicMs } from '@hibiscusbank/core';
 import type { PoolId, Telemetry } from '@hibiscusbank/core';
+import { createUpstreamSpeeds } from '../costs/index.js';
+import type { UpstreamSpeeds } from '../costs/index.js';
 import { chooseReserved, chooseUpstream, orderRequests } from './allocation-order.js';
 import type { WaitingRequest } from './allocation-order.js';
 import { createCapacityLedger } from './capacity-ledger.js';
@@ -44,6 +46,7 @@
   readonly key: CellKey;
   readonly since: number;
   readonly ledger: CapacityLedger;
+  readonly speeds: UpstreamSpeeds;
   readonly waiting: Map<string, WaitingAsk>;
   grants: { readonly at: number; readonly organisation: string; readonly cost: number }[];
   granted: number;
@@ -86,6 +89,7 @@
       key,
       since: monotonicMs(),
       ledger: createCapacityLedger(),
+      speeds: createUpstreamSpeeds(),
       waiting: new Map(),
       grants: [],
       granted: 0,
@@ -115,6 +119,7 @@
     chooseUpstream(
       candidates.filter(({ id }) => !ask.excluded.includes(id)),
       (candidate) => readUse(cell, candidate),
+      ({ id }) => cell.speeds.speedOf(id),
       {
         tokens: ask.tokens,
         dataCentre: ask.dataCentre,
@@ -219,6 +224,7 @@
     ask: (key, ask, reply) => {
       const cell = cellOf(key);
       cell.ledger.setHoldings(ask.from.node, ask.sequence, ask.holdings, ask.lastGrant);
+      ask.observed.forEach(cell.speeds.record);
       const { refusedBy } = ask;
       if (refusedBy !== undefined) cell.ledger.markFull(refusedBy.upstream, refusedBy.isAlive);
       const id = `${ask.from.node} ${ask.id}`;
@@ -262,10 +268,11 @@
     cancel: (node, id) => {
       for (const { waiting } of cells.values()) waiting.delete(`${node} ${id}`);
     },
-    setHoldings: ({ cell: id, node, sequence, holdings, lastGrant }) => {
+    setHoldings: ({ cell: id, node, sequence, holdings, lastGrant, observed }) => {
       const cell = cells.get(id);
       if (cell === undefined) return;
       cell.ledger.setHoldings(node, sequence, holdings, lastGrant);
+      observed.forEach(cell.speeds.record);
       serve(cell);
     },
     stop: () => clearInterval(timer),
--- a/packages/serving/src/allocation/messages.ts
+++ b/packages/serving/src/allocation/messages.ts
@@ -1,4 +1,5 @@
 /** Messages about the allocation of capacity. */
+import type { SpeedObservation } from '../costs/index.js';
 import { isNonNegative, isPort } from '../message-values.js';
 import type { AllocationAsk, AllocationCell, CellKind, Holding } from './types.js';
 
@@ -16,6 +17,8 @@
   readonly holdings: readonly Holding[];
   /** Number of the last grant that the holdings include. */
   readonly lastGrant: number;
+  /** How fast upstreams of the cell answered since the last statement. */
+  readonly observed: readonly SpeedObservation[];
 }
 
 /** An upstream that did not take what was granted before. */
@@ -75,13 +78,21 @@
   return isText(upstream) && isNonNegative(requests) && isNonNegative(tokens);
 }
 
+function isObservation(value: unknown): value is SpeedObservation {
+  if (!Array.isArray(value)) return false;
+  const [upstream, key, count, sumLog] = value as unknown[];
+  return isText(upstream) && isText(key) && isNonNegative(count) && typeof sumLog === 'number';
+}
+
 function isStatement(value: Partial<HoldingsStatement>): value is HoldingsStatement {
   return (
     isText(value.cell) &&
     isNonNegative(value.sequence) &&
     isNonNegative(value.lastGrant) &&
     Array.isArray(value.holdings) &&
-    value.holdings.every(isHolding)
+    value.holdings.every(isHolding) &&
+    Array.isArray(value.observed) &&
+    value.observed.every(isObservation)
   );
 }
 
--- a/packages/serving/src/choose-plain.ts
+++ b/packages/serving/src/choose-plain.ts
@@ -30,6 +30,8 @@
       readonly alternative: KnownUpstream | undefined;
       /** To be used for the send, or released. */
       readonly coldPermit: ColdPermit;
+      /** Records the time of the response. */
+      readonly observe: (ms: number) => void;
       /** Called when the request has ended or is not sent. */
       readonly release: () => void;
     }
@@ -80,7 +82,8 @@
       return signal.aborted ? { kind: 'none' } : undefined;
     }
     const [alternative] = rank(new Set([...excluded, upstream.id]), 0);
-    return { kind: 'chosen', upstream, alternative, coldPermit, release };
+    const observe = (ms: number): void => held.observe(route.id, ms, 1);
+    return { kind: 'chosen', upstream, alternative, coldPermit, observe, release };
   };
 
   if (context.allocation.isActive(pool.id)) {
@@ -92,7 +95,15 @@
     const coldPermit = upstream && coldLimit.take(upstream, pool.coldRequestsPerSecond);
     if (upstream === undefined || coldPermit === undefined) break;
     const { isGranted, waitMs } = await permits.acquire(upstream, createPermitAsk(admitted));
-    if (isGranted) return { kind: 'chosen', upstream, alternative, coldPermit, release: () => {} };
+    if (isGranted)
+      return {
+        kind: 'chosen',
+        upstream,
+        alternative,
+        coldPermit,
+        observe: () => {},
+        release: () => {},
+      };
     coldPermit.release();
     statedWaits.set(upstream.id, waitMs);
   }
@@ -122,6 +133,7 @@
       upstream,
       alternative: undefined,
       coldPermit,
+      observe: () => {},
       release: () => {},
     };
   }
--- a/packages/serving/src/context.ts
+++ b/packages/serving/src/context.ts
@@ -92,6 +92,8 @@
   readonly coldPermit: ColdPermit;
   /** Stops counting the reservation in this node's load, and returns its permit if it is unused. */
   readonly release: () => void;
+  /** Records a pause between two events of the run. */
+  readonly observePause?: (ms: number) => void;
 }
 
 /** A request that passed routing, authentication and quota. */
--- /dev/null
+++ b/packages/serving/src/costs/index.ts
@@ -0,0 +1,2 @@
+export { createSpeedObserver, createUpstreamSpeeds } from './upstream-speeds.js';
+export type { SpeedObservation, SpeedObserver, UpstreamSpeeds } from './upstream-speeds.js';
--- a/packages/serving/src/prefill-prompt.ts
+++ b/packages/serving/src/prefill-prompt.ts
@@ -54,6 +54,8 @@
   readonly upstream: KnownUpstream;
   /** Prompt tokens that are prefilled before. */
   readonly aheadTokens: number;
+  /** Records the time of the prefill. */
+  readonly observe: (ms: number) => void;
   /** Called when the prompt has been prefilled or is not sent. */
   readonly endHold: () => void;
 }
@@ -69,9 +71,10 @@
   const { pool, req, signal } = admitted;
   const candidates = listPrefillCandidates(context, pool.id, reservation);
   const { dataCentre } = reservation.upstream;
+  const promptTokens = req.usage?.promptTokens ?? 0;
   if (allocation.isActive(pool.id)) {
     const result = await allocation.acquire(pool.id, 'prefill', {
-      tokens: req.usage?.promptTokens ?? 0,
+      tokens: promptTokens,
       organisation: organisationOf(admitted) ?? '',
       priority: computePriority(admitted),
       onTargetMs: 0,
@@ -85,14 +88,24 @@
       const { held } = result;
       const upstream = candidates.find(({ id }) => id === held.upstream);
       if (upstream !== undefined)
-        return { upstream, aheadTokens: held.aheadTokens, endHold: held.release };
+        return {
+          upstream,
+          aheadTokens: held.aheadTokens,
+          observe: (ms) => held.observe('prefill', ms, held.aheadTokens + promptTokens),
+          endHold: held.release,
+        };
       held.release();
     }
   }
   const placement = createPlacementContext(context, pool, prefillLoads, excluded);
   const [upstream] = rankPrefill(candidates, placement, dataCentre);
   if (upstream === undefined) return undefined;
-  return { upstream, aheadTokens: prefillLoads.tokens(upstream.id), endHold: () => {} };
+  return {
+    upstream,
+    aheadTokens: prefillLoads.tokens(upstream.id),
+    observe: () => {},
+    endHold: () => {},
+  };
 }
 
 /**
@@ -118,7 +131,7 @@
   while (attempts < MAX_PREFILL_ATTEMPTS && !signal.aborted) {
     const choice = await choosePrefill(context, admitted, reservation, excluded);
     if (choice === undefined) return { kind: 'not_prefilled' };
-    const { upstream, aheadTokens, endHold } = choice;
+    const { upstream, aheadTokens, observe, endHold } = choice;
     if (context.prefillRate.waitMs(pool.id, aheadTokens) > maxWaitMs) {
       endHold();
       return { kind: 'not_prefilled' };
@@ -160,6 +173,7 @@
     else versionRun.end(isBroken ? 'failed' : 'none');
     limit.stop();
     release();
+    if (result.isOk()) observe(monotonicMs() - startedAt);
     endHold();
     if (result.isOk()) {
       health.recordSuccess(upstream);
--- a/packages/serving/src/serve-plain.ts
+++ b/packages/serving/src/serve-plain.ts
@@ -130,7 +130,7 @@
     const choice = await choosePlain(context, admitted, excluded, refusedBy);
     if (choice.kind === 'limited') retryAfterMs = choice.retryAfterMs;
     if (choice.kind !== 'chosen') break;
-    const { upstream, alternative, coldPermit, release } = choice;
+    const { upstream, alternative, coldPermit, observe, release } = choice;
     blocked = context.crashProtection.findBlocked(req);
     const isRetry = sends > 0 && lastFailure.wasSent;
     if (blocked !== undefined || (isRetry && !retryBudget.take(pool.id))) {
@@ -147,8 +147,9 @@
     const limitMs = mayRetryElsewhere ? route.targetMs * RETRY_TARGET_SHARE : remainingMs(admitted);
     const startedAt = monotonicMs();
     const result = await sendOnce(context, admitted, upstream, coldPermit, limitMs);
-    release();
     const ms = monotonicMs() - startedAt;
+    if (result.isOk()) observe(ms);
+    release();
     telemetry.log('upstreamAnswered', {
       request: req.id,
       upstream: upstream.id,
--- a/packages/serving/src/serve-stream.ts
+++ b/packages/serving/src/serve-stream.ts
@@ -1,6 +1,5 @@
 /** Serves streaming requests to model engines: reservation, prefill, decode, relay. */
 import { monotonicMs } from '@hibiscusbank/core';
-import type { UpstreamId } from '@hibiscusbank/core';
 import { sendBuffered, sendError, startResponse } from './responses.js';
 import { mayStillServe, organisationOf, readExpectedOutput, remainingMs } from './context.js';
 import type { AdmittedRequest, EngineReservation, ServingContext } from './context.js';
@@ -40,7 +39,7 @@
 async function relay(
   context: ServingContext,
   state: StreamState,
-  upstream: UpstreamId,
+  { upstream, observePause }: EngineReservation,
   reply: UpstreamReply,
   versionRun: VersionRun,
 ): Promise<RunOutcome> {
@@ -65,7 +64,8 @@
   startResponse(outgoing, reply);
   const blocksBefore = progress.blocks;
   const onPause = (pauseMs: number): void => {
-    context.pace.record(upstream, pauseMs);
+    context.pace.record(upstream.id, pauseMs);
+    observePause?.(pauseMs);
     versionRun.recordPause(pauseMs);
   };
   const onFirstEvent = (): void => {
@@ -117,7 +117,7 @@
   });
   const outcome: RunOutcome = sent.isErr()
     ? { kind: 'failed', failure: sent.error }
-    : await relay(context, state, reservation.upstream.id, sent.value, versionRun);
+    : await relay(context, state, reservation, sent.value, versionRun);
   const wasBroken = outcome.kind === 'failed' && outcome.failure.effect === 'unknown';
   if (wasBroken && !stall.signal.aborted) finishRun('broken');
   else
