Ask a node that does not answer ever more rarely, and avoid ejected upstreams

Cause: after the end of an allocator each node repeated its ask every second and waited 120 ms for nothing, until the fleet noticed after 10 s or more that the node had ended. An allocator also knew nothing of the failures that a node had seen, so a node was granted upstreams that it avoids.

Change: the pause after an ask without an answer doubles from 1 to 16 s, until the node answers. Asks exclude the upstreams that the node itself avoids, unless it avoids all.

Test: at most 8 asks to a silent node in a minute; before, one a second by the code.

--- a/packages/serving/src/allocate-capacity.ts
+++ b/packages/serving/src/allocate-capacity.ts
@@ -4,7 +4,12 @@
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import type { HeldCapacity, Refusal } from './allocation/index.js';
-import { computePriority, mayStillServe, organisationOf } from './context.js';
+import {
+  computePriority,
+  createPlacementContext,
+  mayStillServe,
+  organisationOf,
+} from './context.js';
 import type { AdmittedRequest, EngineReservation, ServingContext } from './context.js';
 import type { KnownUpstream } from './directory.js';
 import { reserveOn } from './reserve-engine.js';
@@ -27,6 +32,18 @@
   /** No node allocates the pool at the moment. */
   | { readonly kind: 'unanswered' };
 
+/** Returns the upstreams that this node avoids, unless it avoids all of them. */
+function listEjected(
+  context: ServingContext,
+  { pool }: AdmittedRequest,
+  excluded: ReadonlySet<UpstreamId>,
+): readonly UpstreamId[] {
+  const usable = context.directory.usable(pool.id).filter(({ role }) => role !== 'prefill');
+  const { readState } = createPlacementContext(context, pool, context.loads, excluded);
+  const ejected = usable.filter((upstream) => readState(upstream).isEjected);
+  return ejected.length < usable.length ? ejected.map(({ id }) => id) : [];
+}
+
 /** Obtains a place on an upstream that is not in `excluded`. */
 export async function allocateCapacity(
   context: ServingContext,
@@ -39,7 +56,7 @@
 ): Promise<CapacityResult> {
   const { pool, req } = admitted;
   const startedAt = monotonicMs();
-  const tried = new Set(excluded);
+  const tried = new Set([...excluded, ...listEjected(context, admitted, excluded)]);
   for (let grants = 0; grants < MAX_GRANTS; grants += 1) {
     const passedMs = monotonicMs() - startedAt;
     const result = await context.allocation.acquire(pool.id, 'run', {
--- a/packages/serving/src/allocation/allocation-client.ts
+++ b/packages/serving/src/allocation/allocation-client.ts
@@ -212,6 +212,7 @@
       };
       waiting.set(id, ({ kind, upstream, grant, aheadTokens, waitMs }) => {
         clearTimeout(answerTimer);
+        granters.confirm(peer.node);
         if (kind === 'granted' && upstream !== undefined) {
           cell.lastGrant = Math.max(cell.lastGrant, grant);
           const held = hold(cell, upstream, req.tokens, aheadTokens);
--- a/packages/serving/src/granter-selection.ts
+++ b/packages/serving/src/granter-selection.ts
@@ -6,8 +6,12 @@
 import { monotonicMs, rankByRendezvous } from '@hibiscusbank/core';
 import type { KnownPeer } from './peer-reports.js';
 
-/** Time for which a node that did not answer is not asked again. */
+/**
+ * Time for which a node that did not answer is not asked again. It doubles with each further time, since
+ * nodes of a large fleet notice only after many seconds that one has ended.
+ */
 const UNANSWERED_PAUSE_MS = 1_000;
+const MAX_PAUSE_MS = 16_000;
 
 export interface GranterSelectionOptions {
   readonly self: KnownPeer;
@@ -22,20 +26,18 @@
   find(key: string, dataCentre: string | undefined): KnownPeer;
   /** Records that a node did not answer. */
   pause(node: string): void;
+  /** Records that a node answered. */
+  confirm(node: string): void;
 }
 
 /** Creates the selection of one node. */
 export function createGranterSelection(options: GranterSelectionOptions): GranterSelection {
   const { self } = options;
-  const pausedUntil = new Map<string, number>();
+  const pauses = new Map<string, { readonly until: number; readonly ms: number }>();
 
   const isPaused = (node: string): boolean => {
     if (options.isSilent(node)) return true;
-    const until = pausedUntil.get(node);
-    if (until === undefined) return false;
-    if (monotonicMs() < until) return true;
-    pausedUntil.delete(node);
-    return false;
+    return monotonicMs() < (pauses.get(node)?.until ?? -Infinity);
   };
 
   return {
@@ -50,7 +52,11 @@
       return candidates.get(first ?? '') ?? self;
     },
     pause: (node) => {
-      pausedUntil.set(node, monotonicMs() + UNANSWERED_PAUSE_MS);
+      const ms = Math.min(MAX_PAUSE_MS, (pauses.get(node)?.ms ?? UNANSWERED_PAUSE_MS / 2) * 2);
+      pauses.set(node, { until: monotonicMs() + ms, ms });
+    },
+    confirm: (node) => {
+      pauses.delete(node);
     },
   };
 }
--- a/packages/serving/src/request-permits.ts
+++ b/packages/serving/src/request-permits.ts
@@ -150,6 +150,7 @@
       }, ASK_TIMEOUT_MS);
       waiting.set(id, (answer) => {
         clearTimeout(timer);
+        granters.confirm(granter.node);
         finish(answer);
       });
       const { organisation, priority, onTargetMs, maxWaitMs } = ask;
