Bound the memory of responses that callers do not read

Cause: a response of a plain upstream is written whole and waits in the process until its caller takes it. Each is limited to 8 MiB, but callers that read nothing could keep any number of them for any time.

Change: unread responses may take 0.08 of the machine's memory together; beyond, the largest that has been unread for 2 s is broken off, and each after 30 s.

Test: fake responses under fake timers; a trial with real processes was not made, since the stand-in's responses fit into the kernel's buffers.

--- a/packages/core/src/events.ts
+++ b/packages/core/src/events.ts
@@ -166,6 +166,7 @@
   allocationRefused: defineEvent(1840, 'info', 'no capacity for a request in its time'),
   connectionsDropped: defineEvent(1841, 'warn', 'connections of callers closed; too many are open'),
   bodyRefused: defineEvent(1842, 'info', 'body of a caller refused'),
+  responseUnread: defineEvent(1843, 'warn', 'response closed; its caller does not read it'),
   settingsReloaded: defineEvent(1816, 'info', 'settings reloaded'),
 
   invariantViolated: defineEvent(1901, 'error', 'invariant violated'),
--- a/packages/serving/src/memory/index.ts
+++ b/packages/serving/src/memory/index.ts
@@ -1,7 +1,6 @@
 export { createBodyBudget } from './body-budget.js';
-export type { BodyBudget } from './body-budget.js';
+export { createCallerMemory } from './caller-memory.js';
+export type { CallerMemory } from './caller-memory.js';
 export { discardBody } from './discard-body.js';
-export { computeMemoryLimits } from './memory-limits.js';
 export type { Machine } from './memory-limits.js';
-export { createCallerBodies } from './read-caller-body.js';
-export type { CallerBodies, CallerBody } from './read-caller-body.js';
+export { createUnreadResponses } from './unread-responses.js';
--- a/packages/serving/src/serving-gateway.ts
+++ b/packages/serving/src/serving-gateway.ts
@@ -4,7 +4,7 @@
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import { discardBody } from './memory/index.js';
-import type { CallerBodies } from './memory/index.js';
+import type { CallerMemory } from './memory/index.js';
 import { hasFreeCapacity } from './free-capacity.js';
 import { describeDraining, describeQuarantine } from './failures.js';
 import { sendError } from './responses.js';
@@ -24,7 +24,7 @@
 
 export interface ServingGatewayOptions {
   readonly context: ServingContext;
-  readonly bodies: CallerBodies;
+  readonly memory: Pick<CallerMemory, 'bodies' | 'unread'>;
   /** Decodes the method, path and headers of a request. Errors: `invalid_request`. */
   readonly readRequest: (exchange: HttpExchange) => Result<ServingRequest, RouterError>;
 }
@@ -77,7 +77,7 @@
 /** Creates the gateway of a node. */
 export function createServingGateway({
   context,
-  bodies,
+  memory,
   readRequest,
 }: ServingGatewayOptions): ServingGateway {
   const { directory, drain, quota, retryBudget, telemetry } = context;
@@ -229,6 +229,7 @@
     running.delete(controller);
     clearTimeout(timer);
     outgoing.off('close', onClose);
+    memory.unread.track(outgoing);
     const { organisation } = authorised;
     if (failure?.effect === 'not_run' && organisation !== undefined && charged.value > 0) {
       quota.refund(organisation.id, charged.value);
@@ -260,7 +261,7 @@
       refuse(earlyCheck.error, req.id);
       return;
     }
-    const body = await bodies.read(incoming, {
+    const body = await memory.bodies.read(incoming, {
       maxBytes: directory.tables()?.limits.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES,
       timeLimitMs: computeLimitMs(earlyCheck.value.route, req),
     });
--- a/packages/serving/src/serving-node.ts
+++ b/packages/serving/src/serving-node.ts
@@ -13,7 +13,7 @@
 import { createEngineQueues } from './engine-queues.js';
 import { createLivePeers, mergePeers } from './live-peers.js';
 import { createLeaseFactory } from './lease-objects.js';
-import { computeMemoryLimits, createBodyBudget, createCallerBodies } from './memory/index.js';
+import { createCallerMemory } from './memory/index.js';
 import { createMovedUpstreams } from './moved-upstreams.js';
 import { createNodeAllocation } from './node-allocation.js';
 import { createNodeDrain } from './node-drain.js';
@@ -297,16 +297,15 @@
     telemetry,
   });
 
-  const { bodyBytes, maxConnections } = computeMemoryLimits(options.machine);
-  const bodies = createCallerBodies(createBodyBudget(bodyBytes), telemetry);
-  const gateway = createServingGateway({ context, bodies, readRequest: options.readRequest });
+  const memory = createCallerMemory(options.machine, telemetry);
+  const gateway = createServingGateway({ context, memory, readRequest: options.readRequest });
 
   const servers = createNodeServers({
     addresses: options,
     gateway,
     idleTimeoutMs: () => directory.tables()?.limits.idleTimeoutMs ?? DEFAULT_IDLE_MS,
     headerTimeoutMs: () => directory.tables()?.limits.headerTimeoutMs ?? DEFAULT_HEADER_MS,
-    maxConnections,
+    maxConnections: memory.maxConnections,
     isReady,
     peerApps: [lists.app, crashProtection.app, rollouts.app],
     telemetry,
