Explain where a request would go now, and why

Cause: operators could only explain past requests from logs.

Change: every node answers `GET /explain` on its address for peers with the upstreams of the route, what is in use, who is left out and for which reason; the allocator of the pool adds capacity, learned speed, penalties, waiting requests and the expected wait. `hibiscusbank explain-placement` asks a node and the allocator that it names, as text or `--json`.

--- a/packages/cli/src/app.ts
+++ b/packages/cli/src/app.ts
@@ -5,6 +5,7 @@
 import { outputOptions } from './common-options.js';
 import { createDemoCommand } from './demo-command.js';
 import { createExplainLogCommand } from './explain-log-command.js';
+import { createExplainPlacementCommand } from './explain-placement-command.js';
 import { exitCodes } from './exit-codes.js';
 import type { ExitCode } from './exit-codes.js';
 import { processDaemonPorts, runDaemon } from './node-command.js';
@@ -47,6 +48,7 @@
       upstream: createDrainCommands(runner, 'upstream'),
       ...createInspectionCommands(runner),
       'explain-log': createExplainLogCommand(runner),
+      'explain-placement': createExplainPlacementCommand(runner),
       demo: createDemoCommand(runner),
       load: loadCommand,
       standin: standinCommand,
--- a/packages/serving/src/allocation/allocator.ts
+++ b/packages/serving/src/allocation/allocator.ts
@@ -3,7 +3,7 @@
 import type { PoolId, Telemetry } from '@hibiscusbank/core';
 import { createUpstreamSpeeds } from '../costs/index.js';
 import type { UpstreamSpeeds } from '../costs/index.js';
-import { chooseReserved, chooseUpstream, orderRequests } from './allocation-order.js';
+import { chooseReserved, chooseUpstream, fits, orderRequests } from './allocation-order.js';
 import type { WaitingRequest } from './allocation-order.js';
 import { createCapacityLedger } from './capacity-ledger.js';
 import type { CapacityLedger } from './capacity-ledger.js';
@@ -54,6 +54,27 @@
   pressure: { readonly since: number; readonly grantedBefore: number } | undefined;
 }
 
+/** An upstream as its allocator sees it. */
+export interface ViewedUpstream {
+  readonly upstream: string;
+  readonly requests: number;
+  readonly tokens: number;
+  readonly capacity: CapacityUse;
+  readonly speed: number;
+  readonly penalty: number;
+  readonly isFull: boolean;
+}
+
+export interface CellView {
+  readonly cell: AllocationCell;
+  readonly upstreams: readonly ViewedUpstream[];
+  readonly waiting: number;
+  /** Expected wait of a further request; 0 while the rate is unknown. */
+  readonly expectedWaitMs: number;
+  /** Upstream that a request of this size would get now; `undefined` if it would wait. */
+  readonly next: string | undefined;
+}
+
 export interface AllocatorOptions {
   /** Returns the upstreams of a cell that may get requests now. */
   readonly listCandidates: (cell: CellKey) => readonly AllocationCandidate[];
@@ -65,6 +86,8 @@
   ask(cell: CellKey, ask: Ask, reply: (answer: Answer) => void): void;
   cancel(node: string, id: number): void;
   setHoldings(statement: HoldingsMessage['allocationHoldings']): void;
+  /** Returns what this allocator knows of a cell, for operators. */
+  view(key: CellKey, tokens: number): CellView;
   stop(): void;
 }
 
@@ -275,6 +298,31 @@
       observed.forEach(cell.speeds.record);
       serve(cell);
     },
+    view: (key, tokens) => {
+      const cell = cellOf(key);
+      const open = listOpen(cell);
+      const use = (candidate: AllocationCandidate): CapacityUse => readUse(cell, candidate);
+      const speed = ({ id }: AllocationCandidate): number => cell.speeds.speedOf(id);
+      const next = chooseUpstream(open, use, speed, {
+        tokens,
+        dataCentre: key.dataCentre ?? '',
+        pastTarget: false,
+      });
+      return {
+        cell: key.id,
+        waiting: cell.waiting.size,
+        expectedWaitMs: Math.round(expectedWaitMs(cell, cell.waiting.size)),
+        next: cell.waiting.size === 0 ? next?.id : undefined,
+        upstreams: listCandidates(key).map((candidate) => ({
+          upstream: candidate.id,
+          ...use(candidate),
+          capacity: candidate.capacity,
+          speed: speed(candidate),
+          penalty: candidate.penalty,
+          isFull: !open.includes(candidate) || !fits(candidate, use(candidate), tokens, false),
+        })),
+      };
+    },
     stop: () => clearInterval(timer),
   };
 }
--- a/packages/serving/src/allocation/index.ts
+++ b/packages/serving/src/allocation/index.ts
@@ -7,7 +7,7 @@
 import { createAllocationClient } from './allocation-client.js';
 import type { AllocationRequest, AllocationResult } from './allocation-client.js';
 import { createAllocator, describeOpen, toCell } from './allocator.js';
-import type { AllocatorOptions } from './allocator.js';
+import type { AllocatorOptions, CellView } from './allocator.js';
 import { isAnswerMessage, isAskMessage, isCancelMessage, isHoldingsMessage } from './messages.js';
 import type { AnswerMessage } from './messages.js';
 import type { CellKey, CellKind } from './types.js';
@@ -19,6 +19,14 @@
 /** Upstreams up to which a pool is one cell. Prompts are short work, and any engine can take them. */
 const MAX_WHOLE_POOL: Readonly<Record<CellKind, number>> = { run: 16, prefill: 64 };
 
+/** The allocation of a pool as one node sees it. */
+export interface AllocationView {
+  /** The node that allocates, and its address for peers. */
+  readonly allocator: { readonly node: string; readonly host: string; readonly port: number };
+  /** Set on the allocator itself. */
+  readonly cell: CellView | undefined;
+}
+
 export interface Allocation {
   /** Whether capacity of a pool is allocated by one node for all. */
   isActive(pool: PoolId): boolean;
@@ -29,6 +37,8 @@
   acquire(pool: PoolId, kind: CellKind, req: AllocationRequest): Promise<AllocationResult>;
   /** Returns the requests of this node that are waiting. */
   waiting(pool: PoolId): number;
+  /** Returns what this node knows of the allocation of a pool, `undefined` if nobody allocates it. */
+  view(pool: PoolId, tokens: number): AllocationView | undefined;
 }
 
 export interface AllocationService extends Allocation {
@@ -98,6 +108,16 @@
       waitingByPool.set(pool, (waitingByPool.get(pool) ?? 1) - 1);
       return result;
     },
+    view: (pool, tokens) => {
+      const [cell] = listCells(pool, 'run');
+      if (cell === undefined || !options.isActive(pool)) return undefined;
+      const { node, host, port } = granters.find(cell.id, cell.dataCentre);
+      const isSelf = node === self.node;
+      return {
+        allocator: { node, host, port },
+        cell: isSelf ? allocator.view(cell, tokens) : undefined,
+      };
+    },
     waiting: (pool) => waitingByPool.get(pool) ?? 0,
     receive: (message) => {
       if (isAnswerMessage(message)) client.receive(message.allocationAnswer);
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -4,6 +4,7 @@
 export type { ExchangeReply } from './http-exchange.js';
 export type { KnownPeer } from './peer-reports.js';
 export * from './ports.js';
+export type { PlacementExplanation } from './explain-placement.js';
 export { createRolloutKey, upstreamVersion } from './rollouts/types.js';
 export type { RolloutBounds, RolloutOrder, UpstreamVersion } from './rollouts/types.js';
 export * from './serving-node.js';
--- a/packages/serving/src/serving-node.ts
+++ b/packages/serving/src/serving-node.ts
@@ -11,6 +11,7 @@
 import { createDrainTime } from './drain-time.js';
 import { createEnginePace } from './engine-pace.js';
 import { createEngineQueues } from './engine-queues.js';
+import { createExplainApp } from './explain-placement.js';
 import { createLivePeers, mergePeers } from './live-peers.js';
 import { createLeaseFactory } from './lease-objects.js';
 import { createCallerMemory } from './memory/index.js';
@@ -307,7 +308,7 @@
     headerTimeoutMs: () => directory.tables()?.limits.headerTimeoutMs ?? DEFAULT_HEADER_MS,
     maxConnections: memory.maxConnections,
     isReady,
-    peerApps: [lists.app, crashProtection.app, rollouts.app],
+    peerApps: [lists.app, crashProtection.app, rollouts.app, createExplainApp(self.node, context)],
     telemetry,
   });
 
