Continue a roll-out before the fleet notices that its controller has ended

Cause: the controller is the first node by rank among those that count as live, and in a large fleet a node that has ended counts as live for 10 s and more. No other node acted meanwhile, and evidence that can no longer come held up the ramp.

Change: the next node by rank acts when those before it have not instructed it for 1.5 s, the one after it after 3 s, and so on; two at once are harmless, since the lesser share counts. A node that has not answered for five rounds is no longer waited for; its instructions have expired.

Test: controllers ended at 1 and 5 s of 12 s without anybody noticing: sound versions completed in time, bad ones rolled back within the bound.

--- a/packages/serving/src/rollouts/controller.ts
+++ b/packages/serving/src/rollouts/controller.ts
@@ -4,7 +4,7 @@
  * instructions nodes fall back to the version in service, and the next controller continues with
  * the evidence that the nodes have.
  */
-import { monotonicMs, pickByRendezvous, sleep } from '@hibiscusbank/core';
+import { monotonicMs, rankByRendezvous, sleep } from '@hibiscusbank/core';
 import type { PoolId, Telemetry } from '@hibiscusbank/core';
 import type { PeerDatagrams } from '../peer-datagrams.js';
 import type { KnownPeer } from '../peer-reports.js';
@@ -38,6 +38,10 @@
 const RECENT_ROUNDS = 3;
 /** Gap between two rounds after which the evidence is collected anew: the process was paused. */
 const MAX_GAP_MS = 1_500;
+/** Time without instructions after which the next node by rank acts, the one after it a further time later. */
+const TAKEOVER_PAUSE_MS = 1_500;
+/** Rounds without an answer after which a node is no longer waited for. */
+const SILENT_ROUNDS = 5;
 /** Age of the last instruction of another controller up to which its phase is continued. */
 const TAKEOVER_MS = 5_000;
 /** Time after the start in which a node has not heard all peers yet. */
@@ -82,6 +86,7 @@
 
 interface Control {
   readonly order: RolloutOrder;
+  readonly since: number;
   readonly tracker: VerdictTracker;
   readonly evidence: Map<
     string,
@@ -127,15 +132,23 @@
   const roundMs = (): number =>
     Math.min(MAX_ROUND_MS, Math.max(MIN_ROUND_MS, options.recipients().length * ROUND_MS_PER_NODE));
 
-  const isController = ({ pool }: RolloutOrder): boolean =>
-    monotonicMs() - startedAt >= STARTUP_MS &&
-    options.reachesMajority() &&
-    pickByRendezvous(`rollout ${pool}`, [self.node, ...options.peers()]) === self.node;
+  /**
+   * Whether this node controls an order: it ranks first, or those that rank before it have not instructed
+   * it for some time. In a large fleet a node that has ended counts as live for many seconds.
+   */
+  const isController = (order: RolloutOrder): boolean => {
+    if (monotonicMs() - startedAt < STARTUP_MS || !options.reachesMajority()) return false;
+    const ranked = rankByRendezvous(`rollout ${order.pool}`, [self.node, ...options.peers()]);
+    const before = ranked.slice(0, ranked.indexOf(self.node));
+    const sinceMs = gate.sinceInstructedMs(order, before);
+    return before.length === 0 || sinceMs >= before.length * TAKEOVER_PAUSE_MS;
+  };
 
   const createControl = (order: RolloutOrder): Control => {
     const now = monotonicMs();
     return {
       order,
+      since: now,
       tracker: createVerdictTracker(),
       evidence: new Map(),
       // A roll-out that another node controlled until now goes on in its phase.
@@ -200,6 +213,12 @@
     monotonicMs() - control.roundAt > MAX_GAP_MS ||
     Math.abs(Date.now() - control.roundWallClock) > MAX_GAP_MS;
 
+  /** Whether a node has not answered for so long that its instructions have expired. */
+  const isSilent = ({ since, evidence }: Control, node: string): boolean => {
+    const heard = [...evidence.values()].filter((each) => each.node === node).map(({ at }) => at);
+    return monotonicMs() - Math.max(since, ...heard) > roundMs() * SILENT_ROUNDS;
+  };
+
   const plan = (control: Control): RolloutStep => {
     const { order } = control;
     const { phase, phaseSince } = control;
@@ -230,7 +249,7 @@
       evidence: merged,
       verdict: control.tracker.update(merged, candidates),
       capacityShare: computeCapacityShare(usable, order),
-      isComplete: options.peers().every((peer) => recent.has(peer)),
+      isComplete: options.peers().every((peer) => recent.has(peer) || isSilent(control, peer)),
     });
   };
 
--- a/packages/serving/src/rollouts/version-gate.ts
+++ b/packages/serving/src/rollouts/version-gate.ts
@@ -66,6 +66,11 @@
   isRolledBack(order: RolloutOrder): boolean;
   /** Returns the phase of the last instruction, if it is at most `maxAgeMs` old. */
   lastPhase(order: RolloutOrder, maxAgeMs: number): RolloutPhase | undefined;
+  /**
+   * Returns the time since one of the nodes last instructed this one about an order, or since the order
+   * became known.
+   */
+  sinceInstructedMs(order: RolloutOrder, nodes: readonly string[]): number;
   /** Whether upstreams of another version than the new one are registered. */
   hasOtherVersions(order: RolloutOrder): boolean;
   orders(): readonly RolloutOrder[];
@@ -84,6 +89,7 @@
   order: RolloutOrder;
   /** The last instruction of each controller; two can exist for a moment. */
   readonly instructions: Map<string, Instruction>;
+  readonly knownSince: number;
   isRolledBack: boolean;
 }
 
@@ -205,6 +211,12 @@
       const last = instructions.sort((a, b) => b.at - a.at)[0];
       return last !== undefined && monotonicMs() - last.at <= maxAgeMs ? last.phase : undefined;
     },
+    sinceInstructedMs: ({ pool }, nodes) => {
+      const state = states.get(pool);
+      if (state === undefined) return 0;
+      const times = nodes.map((node) => state.instructions.get(node)?.at ?? -Infinity);
+      return monotonicMs() - Math.max(state.knownSince, ...times);
+    },
     hasOtherVersions,
     orders: () => [...states.values()].map(({ order }) => order),
     setOrders: (orders) => {
@@ -217,7 +229,9 @@
         if (isSame) known.order = order;
         next.set(
           order.pool,
-          isSame ? known : { order, instructions: new Map(), isRolledBack: false },
+          isSame
+            ? known
+            : { order, instructions: new Map(), isRolledBack: false, knownSince: monotonicMs() },
         );
         rejected.delete(versionKey({ pool: order.pool, version: order.to }));
       }
--- a/packages/serving/test/rollouts.test.ts
+++ b/packages/serving/test/rollouts.test.ts
@@ -129,6 +129,20 @@
   },
 );
 
+test.each([1_000, 5_000])(
+  'the next node continues although nobody notices the end of the controller at %i ms',
+  async (ms) => {
+    const options = { disturb: killAt(ms), isDeathUnnoticed: true };
+    const good = await play(options);
+    expect(good.state).toBe('completed');
+    expect(good.endedAtMs).toBeLessThanOrEqual(DURATION_MS);
+    const bad = await play({ ...options, candidate: failing(0.4, ({ ageMs }) => ageMs > ms) });
+    expect(bad.state).toBe('rolled_back');
+    expect(bad.exposed).toBeLessThanOrEqual(bound(bad));
+    expect(bad.late).toBe(0);
+  },
+);
+
 test('a bad version gets nothing more while the store is down, and its end is reported later', async () => {
   const result = await play({
     candidate: failing(0.4, ({ ageMs }) => ageMs > 3_000),
--- a/packages/serving/test/support/rollout-fleet.ts
+++ b/packages/serving/test/support/rollout-fleet.ts
@@ -43,6 +43,8 @@
   /** Called every 100 ms with the time since the order. */
   readonly disturb?: (fleet: Fleet, ageMs: number) => void;
   readonly restMs?: number;
+  /** Whether nodes that have ended still count as live, as for seconds in a large fleet. */
+  readonly isDeathUnnoticed?: boolean;
 }
 
 export interface Fleet {
@@ -89,7 +91,10 @@
   const reaches = (a: number, b: number): boolean =>
     alive.has(a) && alive.has(b) && outage.cut.has(a) === outage.cut.has(b);
   const peersOf = (self: number): number[] =>
-    [...alive].filter((other) => other !== self && reaches(self, other));
+    (options.isDeathUnnoticed === true
+      ? Array.from({ length: NODES }, (_, index) => index)
+      : [...alive].filter((other) => reaches(self, other))
+    ).filter((other) => other !== self);
   const order: RolloutOrder = {
     key: createRolloutKey('desk', 'v2', options.durationMs, 1),
     name: ORDER_NAME,
