Let bodies in very small chunks take turns with other work

Cause: the runtime reads up to 2 MB of one socket before it turns to others, which are 350,000 chunks of one byte and as many calls. With four such bodies an ordinary caller got no answer within 11 s on a busy machine.

Change: such a body is paused after 5,000 chunks for 20 ms times the number of such bodies.

--- a/packages/serving/src/memory/read-caller-body.ts
+++ b/packages/serving/src/memory/read-caller-body.ts
@@ -16,10 +16,17 @@
 const MANY_CHUNKS = 2_000;
 const SMALL_CHUNK_BYTES = 64;
 /**
- * Bodies in very small chunks that are read at a time. Each read of such a body keeps the process busy
- * for about 10 ms.
+ * Bodies in very small chunks that are read at a time. A paused one keeps the chunks of its last reads as
+ * objects, about 3 MB.
  */
 const MAX_SMALL_CHUNK_BODIES = 4;
+/**
+ * Chunks after which such a body is paused. Without pauses the runtime reads 2 MB of a socket before it
+ * turns to other work, which are 350,000 chunks of one byte.
+ */
+const TURN_CHUNKS = 5_000;
+/** Pause for each such body, about the time of a turn, so that half of the time is left for others. */
+const TURN_PAUSE_MS = 20;
 /** Retry delay for callers whose body found no memory. */
 const RETRY_AFTER_MS = 1_000;
 
@@ -98,6 +105,7 @@
       const body = createByteCollector(declared);
       let chunks = 0;
       let isInSmallChunks = false;
+      let turnTimer: NodeJS.Timeout | undefined;
       let waitTimer: NodeJS.Timeout | undefined;
       let endWait: (() => void) | undefined;
       let isOver = false;
@@ -108,6 +116,7 @@
         if (isOver) return;
         isOver = true;
         clearTimeout(waitTimer);
+        clearTimeout(turnTimer);
         clearTimeout(limitTimer);
         endWait?.();
         if (isInSmallChunks) smallChunkBodies -= 1;
@@ -121,8 +130,16 @@
         finish(err(error));
       };
 
+      const pauseTurn = (): void => {
+        incoming.pause();
+        turnTimer = setTimeout(() => {
+          if (endWait === undefined) incoming.resume();
+        }, TURN_PAUSE_MS * smallChunkBodies);
+      };
+
       const countChunk = (): void => {
         chunks += 1;
+        if (isInSmallChunks && chunks % TURN_CHUNKS === 0) pauseTurn();
         if (isInSmallChunks || chunks < MANY_CHUNKS) return;
         if (body.length() / chunks >= SMALL_CHUNK_BYTES) return;
         if (smallChunkBodies >= MAX_SMALL_CHUNK_BODIES) {
