--- a/packages/serving/src/allocation/index.ts
+++ b/packages/serving/src/allocation/index.ts
@@ -42,6 +42,8 @@
 }
 
 export interface AllocationService extends Allocation {
+  /** Records that a peer reported, so that it can be asked again. */
+  recordReport(node: string): void;
   /** Handles a message from a peer. Returns false when it is not about allocation. */
   receive(message: unknown): boolean;
   start(): void;
@@ -138,6 +140,7 @@
       } else return false;
       return true;
     },
+    recordReport: granters.confirm,
     start: client.start,
     stop: () => {
       client.stop();
--- a/packages/serving/src/granter-selection.ts
+++ b/packages/serving/src/granter-selection.ts
@@ -7,11 +7,10 @@
 import type { KnownPeer } from './peer-reports.js';
 
 /**
- * Time for which a node that did not answer is not asked again. It doubles with each further time, since
- * nodes of a large fleet notice only after many seconds that one has ended.
+ * Time for which a node that did not answer is not asked again. It doubles with each further time up to
+ * `maxPauseMs`, until the node is heard.
  */
-const UNANSWERED_PAUSE_MS = 1_000;
-const MAX_PAUSE_MS = 16_000;
+export const UNANSWERED_PAUSE_MS = 1_000;
 
 export interface GranterSelectionOptions {
   readonly self: KnownPeer;
@@ -19,6 +18,7 @@
   readonly peers: () => readonly KnownPeer[];
   /** Whether a node has stopped reporting. */
   readonly isSilent: (node: string) => boolean;
+  readonly maxPauseMs: number;
 }
 
 export interface GranterSelection {
@@ -26,13 +26,13 @@
   find(key: string, dataCentre: string | undefined): KnownPeer;
   /** Records that a node did not answer. */
   pause(node: string): void;
-  /** Records that a node answered. */
+  /** Records that a node was heard. */
   confirm(node: string): void;
 }
 
 /** Creates the selection of one node. */
 export function createGranterSelection(options: GranterSelectionOptions): GranterSelection {
-  const { self } = options;
+  const { self, maxPauseMs } = options;
   const pauses = new Map<string, { readonly until: number; readonly ms: number }>();
 
   const isPaused = (node: string): boolean => {
@@ -52,7 +52,7 @@
       return candidates.get(first ?? '') ?? self;
     },
     pause: (node) => {
-      const ms = Math.min(MAX_PAUSE_MS, (pauses.get(node)?.ms ?? UNANSWERED_PAUSE_MS / 2) * 2);
+      const ms = Math.min(maxPauseMs, (pauses.get(node)?.ms ?? UNANSWERED_PAUSE_MS / 2) * 2);
       pauses.set(node, { until: monotonicMs() + ms, ms });
     },
     confirm: (node) => {
--- a/packages/serving/src/node-allocation.ts
+++ b/packages/serving/src/node-allocation.ts
@@ -10,6 +10,12 @@
 import type { PeerDatagrams } from './peer-datagrams.js';
 import type { KnownPeer } from './peer-reports.js';
 
+/**
+ * Longest pause after asks that an allocator did not answer. Nodes of a large fleet notice only after many
+ * seconds that it has ended; its next report ends the pause.
+ */
+const MAX_PAUSE_MS = 16_000;
+
 export interface NodeAllocationOptions {
   readonly self: KnownPeer;
   readonly dataCentre: string;
@@ -28,7 +34,7 @@
   return createAllocation({
     self,
     dataCentre: dataCentreId(options.dataCentre),
-    granters: createGranterSelection({ self, peers, isSilent }),
+    granters: createGranterSelection({ self, peers, isSilent, maxPauseMs: MAX_PAUSE_MS }),
     datagrams: options.datagrams,
     isActive: options.isActive,
     dataCentresOf: (pool, kind) =>
--- a/packages/serving/src/node-reports.ts
+++ b/packages/serving/src/node-reports.ts
@@ -41,6 +41,7 @@
   readonly watcherSelection: WatcherSelection;
   readonly contact: DataCentreContact;
   readonly registry: NodeRegistry;
+  readonly onHeard: (node: string) => void;
   readonly telemetry: Telemetry;
 }
 
@@ -81,6 +82,7 @@
     },
     onReport: (report) => {
       contact.record(report.dataCentre);
+      options.onHeard(report.node);
       feeds.confirm(report.revisions);
       lists.checkRevisions();
       loads.applyPeer(report.node, report.decode);
--- a/packages/serving/src/request-permits.ts
+++ b/packages/serving/src/request-permits.ts
@@ -6,7 +6,7 @@
  */
 import { monotonicMs } from '@hibiscusbank/core';
 import type { Telemetry } from '@hibiscusbank/core';
-import { createGranterSelection } from './granter-selection.js';
+import { createGranterSelection, UNANSWERED_PAUSE_MS } from './granter-selection.js';
 import { isNonNegative, isPort } from './message-values.js';
 import type { PeerDatagrams } from './peer-datagrams.js';
 import type { KnownPeer } from './peer-reports.js';
@@ -107,7 +107,8 @@
 /** Creates the permits of one node. */
 export function createRequestPermits(options: RequestPermitsOptions): RequestPermits {
   const { self, limits, datagrams, telemetry } = options;
-  const granters = createGranterSelection(options);
+  // Nodes that select different granters for long after a partition would exceed the limit together.
+  const granters = createGranterSelection({ ...options, maxPauseMs: UNANSWERED_PAUSE_MS });
   const grants = createPermitGrants(GRANTER_POOL);
   const ownShares = createPermitGrants(OWN_SHARE_POOL);
   const grantedAt = new Map<string, number[]>();
--- a/packages/serving/src/serving-node.ts
+++ b/packages/serving/src/serving-node.ts
@@ -86,6 +86,8 @@
     peerTimeoutMs: (fleet) => remoteTimeoutMs(fleet, fleet),
   });
 
+  const fleetSize = (): number => registry.names().length;
+
   const recipients = (): readonly KnownPeer[] =>
     mergePeers(self, [...options.seeds, ...registry.peers(), ...livePeers.reports()]);
 
@@ -131,7 +133,7 @@
     datagrams,
     peers: recipients,
     isSilent: livePeers.hasTimedOut,
-    fleetSize: () => registry.names().length,
+    fleetSize,
     reachableShare,
     telemetry,
   });
@@ -190,6 +192,20 @@
     telemetry,
   });
 
+  const allocation = createNodeAllocation({
+    self,
+    dataCentre: options.dataCentre,
+    peers: recipients,
+    isSilent: livePeers.hasTimedOut,
+    isActive: (pool) => isLargeFleet(registry.names().length) && !rollouts.isRunning(pool),
+    directory,
+    // The context is complete before the first message arrives.
+    // eslint-disable-next-line @typescript-eslint/no-use-before-define
+    context: () => context,
+    datagrams,
+    telemetry,
+  });
+
   const reports = createNodeReports({
     self,
     startedAt,
@@ -211,6 +227,7 @@
     watcherSelection,
     contact,
     registry,
+    onHeard: allocation.recordReport,
     telemetry,
   });
 
@@ -235,29 +252,12 @@
     telemetry,
   });
 
-  const allocation = createNodeAllocation({
-    self,
-    dataCentre: options.dataCentre,
-    peers: recipients,
-    isSilent: livePeers.hasTimedOut,
-    isActive: (pool) => isLargeFleet(registry.names().length) && !rollouts.isRunning(pool),
-    directory,
-    // The context is complete before the first message arrives.
-    // eslint-disable-next-line @typescript-eslint/no-use-before-define
-    context: () => context,
-    datagrams,
-    telemetry,
-  });
-
   const context: ServingContext = {
     dataCentre: dataCentreId(options.dataCentre),
     directory,
     transport,
     quota,
-    retryBudget: createRetryBudget({
-      ...options.retryBudget,
-      nodes: () => registry.names().length,
-    }),
+    retryBudget: createRetryBudget({ ...options.retryBudget, nodes: fleetSize }),
     crashProtection,
     permits: limits,
     unavailable,
@@ -285,6 +285,7 @@
     telemetry,
     random: Math.random,
   };
+
   const receive = createPeerMessages({
     handlers: [
       limits.receive,
--- a/packages/serving/test/granter-selection.test.ts
+++ b/packages/serving/test/granter-selection.test.ts
@@ -17,6 +17,7 @@
     self: peer('a', 'west'),
     peers: () => all,
     isSilent: (node) => node === 'd',
+    maxPauseMs: 16_000,
   });
 }
 
--- a/packages/serving/test/support/allocation-fleet.ts
+++ b/packages/serving/test/support/allocation-fleet.ts
@@ -87,6 +87,7 @@
             (_, index) => index !== self,
           ),
         isSilent: () => false,
+        maxPauseMs: 16_000,
       }),
       datagrams: {
         send: (message, recipients) => {
