Drop what an allocator knows of nodes that have ended, also while nothing waits

Cause: holdings and grants that are out of date were dropped only while requests waited. In calm a node that ended kept its memory, and the list of grants grew with each request (found by reading).

Change: each cell drops them once a second, with the next ask.

Test: the memory of an ended node is granted to another after 5 s; refused before.

--- a/packages/serving/src/allocation/allocator.ts
+++ b/packages/serving/src/allocation/allocator.ts
@@ -24,6 +24,7 @@
 const TAKEOVER_MS = 2_500;
 /** Time in which grants count for the shares of organisations and for the expected wait. */
 const GRANTED_WINDOW_MS = 4_000;
+const PRUNE_INTERVAL_MS = 1_000;
 /** Time with waiting requests, and grants in it, that an expected wait needs. */
 const MIN_PRESSURE_MS = 600;
 const MIN_GRANTS = 5;
@@ -48,7 +49,9 @@
   readonly ledger: CapacityLedger;
   readonly speeds: UpstreamSpeeds;
   readonly waiting: Map<string, WaitingAsk>;
+  /** Grants of the last seconds. */
   grants: { readonly at: number; readonly organisation: string; readonly cost: number }[];
+  prunedAt: number;
   granted: number;
   /** Begin of the time in which requests have been waiting, and the grants before it. */
   pressure: { readonly since: number; readonly grantedBefore: number } | undefined;
@@ -115,6 +118,7 @@
       speeds: createUpstreamSpeeds(),
       waiting: new Map(),
       grants: [],
+      prunedAt: monotonicMs(),
       granted: 0,
       pressure: undefined,
     };
@@ -167,9 +171,16 @@
     reply(describeOpen(ask.id, 'refused', waitMs));
   };
 
+  /** Drops what is out of date, once a second at most. */
+  const prune = (cell: CellState): void => {
+    const now = monotonicMs();
+    if (now - cell.prunedAt < PRUNE_INTERVAL_MS) return;
+    cell.prunedAt = now;
+    cell.ledger.prune();
+    cell.grants = cell.grants.filter(({ at }) => now - at < GRANTED_WINDOW_MS);
+  };
+
   const recentCosts = (cell: CellState): Map<string, number> => {
-    const since = monotonicMs() - GRANTED_WINDOW_MS;
-    cell.grants = cell.grants.filter(({ at }) => at >= since);
     const costs = new Map<string, number>();
     for (const { organisation, cost } of cell.grants)
       costs.set(organisation, (costs.get(organisation) ?? 0) + cost);
@@ -226,7 +237,7 @@
 
   const serveAll = (): void => {
     for (const cell of cells.values()) {
-      cell.ledger.prune();
+      prune(cell);
       serve(cell);
     }
     if ([...cells.values()].every(({ waiting }) => waiting.size === 0)) {
@@ -246,6 +257,7 @@
   return {
     ask: (key, ask, reply) => {
       const cell = cellOf(key);
+      prune(cell);
       cell.ledger.setHoldings(ask.from.node, ask.sequence, ask.holdings, ask.lastGrant);
       ask.observed.forEach(cell.speeds.record);
       const { refusedBy } = ask;
