Keep only the length of a body that has arrived in the budget

Cause: a body without a stated length reserves at least 16 KiB and kept it until its request ended; a few hundred long streams on a small machine would have taken the part of the budget for small bodies (found by reading).

Change: a complete body keeps its length only.

Test: 600 bytes instead of 16 KiB.

--- a/packages/serving/src/memory/body-budget.ts
+++ b/packages/serving/src/memory/body-budget.ts
@@ -25,7 +25,7 @@
   reserve(bytes: number): boolean;
   /** Records bytes that arrived. */
   recordProgress(bytes: number): void;
-  /** Records that the body has arrived; it is no longer given up for others. */
+  /** Records that the body has arrived: it keeps its length, and is no longer given up for others. */
   complete(): void;
   release(): void;
 }
@@ -120,6 +120,7 @@
         },
         complete: () => {
           held.isComplete = true;
+          if (all.has(held)) resize(held, held.received);
         },
         release: () => remove(held),
       };
--- a/packages/serving/test/body-budget.test.ts
+++ b/packages/serving/test/body-budget.test.ts
@@ -55,6 +55,7 @@
   const budget = createBodyBudget(TOTAL);
   const whole = openBody(budget);
   whole.hold.reserve(700 * KIB);
+  whole.hold.recordProgress(700 * KIB);
   whole.hold.complete();
   vi.advanceTimersByTime(60_000);
   expect(openBody(budget).hold.reserve(500 * KIB)).toBe(false);
@@ -74,3 +75,13 @@
   waits[0]?.();
   expect(budget.beginWait()).toBeDefined();
 });
+
+// A node may run hundreds of requests whose bodies came without a length.
+test('a body that has arrived keeps only its length', () => {
+  const budget = createBodyBudget(TOTAL);
+  const { hold } = openBody(budget);
+  hold.reserve(16 * KIB);
+  hold.recordProgress(600);
+  hold.complete();
+  expect(budget.reservedBytes()).toBe(600);
+});
