Read one body in very small chunks at a time, and never pause refused ones

Cause: what arrives for a paused body is kept as one object for each chunk.

Change: one such body at a time; a refused one goes on flowing and its bytes are dropped.

--- a/packages/serving/src/memory/read-caller-body.ts
+++ b/packages/serving/src/memory/read-caller-body.ts
@@ -16,16 +16,16 @@
 const MANY_CHUNKS = 2_000;
 const SMALL_CHUNK_BYTES = 64;
 /**
- * Bodies in very small chunks that are read at a time. A paused one keeps the chunks of its last reads as
- * objects, about 3 MB.
+ * Bodies in very small chunks that are read at a time. Each chunk is an object until it is copied, so each
+ * such body takes several megabytes of heap beside its bytes.
  */
-const MAX_SMALL_CHUNK_BODIES = 4;
+const MAX_SMALL_CHUNK_BODIES = 1;
 /**
  * Chunks after which such a body is paused. Without pauses the runtime reads 2 MB of a socket before it
  * turns to other work, which are 350,000 chunks of one byte.
  */
 const TURN_CHUNKS = 5_000;
-/** Pause for each such body, about the time of a turn, so that half of the time is left for others. */
+/** Pause after a turn, about as long, so that half of the time is left for others. */
 const TURN_PAUSE_MS = 20;
 /** Retry delay for callers whose body found no memory. */
 const RETRY_AFTER_MS = 1_000;
@@ -121,8 +121,8 @@
         endWait?.();
         if (isInSmallChunks) smallChunkBodies -= 1;
         detach();
-        // What the caller sends after a refusal must not be kept.
-        if (result.isErr()) incoming.pause();
+        // What the caller sends after a refusal is dropped. A paused body would keep it as objects.
+        if (result.isErr()) incoming.resume();
         resolve(result);
       };
       const refuse = ({ reason, error }: Refusal): void => {
@@ -134,7 +134,7 @@
         incoming.pause();
         turnTimer = setTimeout(() => {
           if (endWait === undefined) incoming.resume();
-        }, TURN_PAUSE_MS * smallChunkBodies);
+        }, TURN_PAUSE_MS);
       };
 
       const countChunk = (): void => {
