Return the memory of a body also after an unexpected error

Cause: an exception while a request was served left its body in the budget for good, and a response whose connection had closed already counted as unread for 30 s (both found by reading).

Change: the release is in a finally block; closed responses are not counted.

Test: a closed response counts nothing; the finally block has no test of its own.

--- a/packages/serving/src/memory/unread-responses.ts
+++ b/packages/serving/src/memory/unread-responses.ts
@@ -12,7 +12,10 @@
 /** Time after which an unread response is given up in any case. */
 const MAX_UNREAD_MS = 30_000;
 
-type Response = Pick<ServerResponse, 'writableLength' | 'writableFinished' | 'destroy' | 'once'>;
+type Response = Pick<
+  ServerResponse,
+  'writableLength' | 'writableFinished' | 'destroyed' | 'destroy' | 'once'
+>;
 
 export interface UnreadResponses {
   /** Follows a response that has been written to its end, until its caller has read it. */
@@ -58,7 +61,7 @@
   return {
     unreadBytes,
     track: (outgoing) => {
-      if (outgoing.writableFinished || outgoing.writableLength === 0) return;
+      if (outgoing.destroyed || outgoing.writableFinished || outgoing.writableLength === 0) return;
       const response: Unread = { outgoing, since: monotonicMs() };
       unread.add(response);
       const timer = setTimeout(() => giveUp(response), MAX_UNREAD_MS);
--- a/packages/serving/src/serving-gateway.ts
+++ b/packages/serving/src/serving-gateway.ts
@@ -272,9 +272,12 @@
     const { bytes, release } = body.value;
     // The configuration may have changed while the body arrived.
     const authorised = authorise(req);
-    if (authorised.isErr()) refuse(authorised.error, req.id);
-    else await serveAdmitted(exchange, req, authorised.value, bytes, startedAt);
-    release();
+    try {
+      if (authorised.isErr()) refuse(authorised.error, req.id);
+      else await serveAdmitted(exchange, req, authorised.value, bytes, startedAt);
+    } finally {
+      release();
+    }
   };
 
   return {
--- a/packages/serving/test/unread-responses.test.ts
+++ b/packages/serving/test/unread-responses.test.ts
@@ -18,6 +18,7 @@
   return Object.assign(emitter, {
     writableLength: bytes,
     writableFinished: false,
+    destroyed: false,
     destroy: vi.fn(),
   }) as never as EventEmitter & Parameters<ReturnType<typeof create>['track']>[0];
 }
@@ -52,6 +53,12 @@
   expect(responses.unreadBytes()).toBe(900_000);
 });
 
+test('a response whose connection has closed takes no memory', () => {
+  const responses = create();
+  responses.track(Object.assign(createResponse(10), { destroyed: true }));
+  expect(responses.unreadBytes()).toBe(0);
+});
+
 test('a response that is never read does not stay for ever', () => {
   const responses = create();
   const unread = createResponse(10);
