Tell the step, counts and verdict of a roll-out in explain-placement

Cause: the address for peers listed roll-outs as raw JSON only.

Change: the explanation of a placement has the roll-out of its pool, and the command prints state, share, phase, reason and the answers of both versions.

Test: the command before a stand-in node.

--- a/packages/cli/src/explain-placement-command.ts
+++ b/packages/cli/src/explain-placement-command.ts
@@ -33,6 +33,21 @@
   }[];
 }
 
+interface Rollout {
+  readonly to: string;
+  readonly state: string;
+  readonly otherShare?: number;
+  readonly control?: {
+    readonly phase: string;
+    readonly reason: string;
+    readonly evidence: {
+      readonly sent: number;
+      readonly running: number;
+      readonly cells: readonly (readonly [string, string, string, number, number])[];
+    };
+  };
+}
+
 interface Explanation {
   readonly node: string;
   readonly route: string;
@@ -41,6 +56,7 @@
   readonly tokens: number;
   readonly first?: string;
   readonly candidates: readonly Candidate[];
+  readonly rollout?: Rollout;
   readonly allocation?: {
     readonly allocator: { readonly node: string; readonly host: string; readonly port: number };
     readonly cell?: CellView;
@@ -95,6 +111,30 @@
   ];
 }
 
+/** Returns the answers of one version and the failures among them. */
+function countAnswers(
+  { cells }: NonNullable<Rollout['control']>['evidence'],
+  isNew: boolean,
+): string {
+  const answers = cells.filter(
+    ([, upstream, metric]) => metric === 'failure' && (upstream !== '') === isNew,
+  );
+  const sum = (rows: typeof answers): number => rows.reduce((total, [, , , , n]) => total + n, 0);
+  return `${sum(answers.filter(([, , , bucket]) => bucket === 1))} of ${sum(answers)} failed`;
+}
+
+function formatRollout({ to, state, otherShare, control }: Rollout): string[] {
+  const share = otherShare === undefined ? 'no valid instruction' : `share ${otherShare}`;
+  const line = `roll-out to ${to}: ${state}, ${share}`;
+  if (control === undefined) return [line];
+  const { phase, reason, evidence } = control;
+  return [
+    `${line}; ${phase}: ${reason}`,
+    `  new version: ${evidence.sent} requests, ${countAnswers(evidence, true)}; ` +
+      `in service: ${countAnswers(evidence, false)}, ${evidence.running} running`,
+  ];
+}
+
 function formatExplanation(explanation: Explanation): string[] {
   const { route, pool, weight, tokens, node, first, candidates, allocation } = explanation;
   const rows = candidates.map((each) => [
@@ -112,6 +152,7 @@
     allocator === undefined
       ? `placed by ${node} itself, first: ${first ?? 'none, the request waits or is refused'}`
       : `allocated by ${allocator}; by ${node}'s own view first: ${first ?? 'none'}`,
+    ...(explanation.rollout === undefined ? [] : formatRollout(explanation.rollout)),
     ...formatTable(
       ['rank', 'upstream', 'data centre', 'requests', 'tokens', 'failures', 'left out'],
       rows,
--- a/packages/cli/test/explain-placement.test.ts
+++ b/packages/cli/test/explain-placement.test.ts
@@ -88,6 +88,33 @@
   expect(JSON.parse(json.text)).toMatchObject([{ pool: 'engines', allocation: { cell } }]);
 });
 
+test('a roll-out is told with its step, counts of both versions and the last verdict', async () => {
+  const rollout = {
+    to: 'v2',
+    state: 'running',
+    otherShare: 0.3,
+    control: {
+      phase: 'ramp',
+      reason: 'answers as in service',
+      evidence: {
+        sent: 40,
+        running: 7,
+        cells: [
+          ['note', 'engine-2', 'failure', 0, 37],
+          ['note', 'engine-2', 'failure', 1, 3],
+          ['note', '', 'failure', 0, 400],
+        ],
+      },
+    },
+  };
+  const node = await startNode(200, () => [{ ...explanation(0, cell), rollout }]);
+  const { text } = await runCommand('--node', `127.0.0.1:${node}`, '--host', 'a', '--path', '/');
+  expect(text).toContain('roll-out to v2: running, share 0.3; ramp: answers as in service');
+  expect(text).toContain(
+    'new version: 40 requests, 3 of 40 failed; in service: 0 of 400 failed, 7',
+  );
+});
+
 test('a request that the node refuses is reported with its reason', async () => {
   const node = await startNode(404, () => ({ error: 'no route for a.example/x' }));
   const { code, text } = await runCommand(
--- a/packages/serving/src/explain-placement.ts
+++ b/packages/serving/src/explain-placement.ts
@@ -6,6 +6,7 @@
 import type { ServingContext } from './context.js';
 import type { KnownUpstream } from './directory.js';
 import { rankDecode, rankPlain } from './placement.js';
+import type { PoolRollout } from './rollouts/index.js';
 import { reservationTokens } from './reserve-engine.js';
 import type { ModelUsage, ServingPool, ServingRoute } from './types.js';
 
@@ -42,6 +43,8 @@
   readonly pool: string;
   /** Tokens that the request would reserve, 0 on a plain upstream. */
   readonly tokens: number;
+  /** The roll-out of the pool, if an operator ordered one. */
+  readonly rollout: PoolRollout | undefined;
   readonly candidates: readonly ExplainedCandidate[];
   /** Upstream that would be asked first by this node's own view. */
   readonly first: string | undefined;
@@ -113,6 +116,7 @@
     route: route.id,
     pool: pool.id,
     tokens,
+    rollout: rollouts.view(pool.id),
     candidates,
     first: ranked[0]?.id,
     allocation: context.allocation.view(pool.id, tokens),
--- a/packages/serving/src/rollouts/index.ts
+++ b/packages/serving/src/rollouts/index.ts
@@ -9,7 +9,7 @@
 import type { EvidenceMessage } from './messages.js';
 import type { RolloutOrder, VersionedUpstream } from './types.js';
 import { createVersionGate } from './version-gate.js';
-import type { VersionRequest } from './version-gate.js';
+import type { RolloutView, VersionRequest } from './version-gate.js';
 import { createVersionRuns } from './version-runs.js';
 import type { RunKind, RunningUpstream, VersionRun } from './version-runs.js';
 
@@ -18,7 +18,15 @@
 
 const ROLLOUTS_PATH = '/rollouts';
 
+/** A roll-out of a pool as one node sees it. */
+export interface PoolRollout extends RolloutView {
+  /** Set on the node that controls it. */
+  readonly control: ControlView | undefined;
+}
+
 export interface Rollouts {
+  /** Returns the roll-out of a pool, the last one if it has ended. */
+  view(pool: PoolId): PoolRollout | undefined;
   /** Returns the usable upstreams of one pool that a request may be sent to now. */
   select<T extends VersionedUpstream>(usable: readonly T[], req?: VersionRequest): readonly T[];
   /** Whether an upstream may get a request at all. Checked immediately before a run is sent. */
@@ -72,6 +80,11 @@
   return {
     app,
     listControls,
+    view: (pool) => {
+      const order = gate.list().find((each) => each.pool === pool);
+      if (order === undefined) return undefined;
+      return { ...order, control: listControls().find(({ key }) => key === order.key) };
+    },
     select: gate.select,
     mayServe: gate.mayServe,
     isRunning: (pool) => gate.findRunning(pool) !== undefined,
