--- a/packages/serving/src/serving-node.ts
+++ b/packages/serving/src/serving-node.ts
@@ -113,9 +113,8 @@
     startedAt: monotonicMs(),
     epoch: startedAt,
     dataCentre: options.dataCentre,
-    reportIntervalMs: () =>
-      localReportIntervalMs(localPeerReports().length, registry.names().length),
-    usesSummaries: () => isLargeFleet(registry.names().length),
+    reportIntervalMs: () => localReportIntervalMs(localPeerReports().length, fleetSize()),
+    usesSummaries: () => isLargeFleet(fleetSize()),
   });
 
   const datagrams = createPeerDatagrams({ self, telemetry });
@@ -197,7 +196,7 @@
     dataCentre: options.dataCentre,
     peers: recipients,
     isSilent: livePeers.hasTimedOut,
-    isActive: (pool) => isLargeFleet(registry.names().length) && !rollouts.isRunning(pool),
+    isActive: (pool) => isLargeFleet(fleetSize()) && !rollouts.isRunning(pool),
     directory,
     // The context is complete before the first message arrives.
     // eslint-disable-next-line @typescript-eslint/no-use-before-define
