--- a/review/lib-2/clients.mjs
+++ b/review/lib-2/clients.mjs
@@ -12,10 +12,11 @@
 export const createPart = () => randomBytes(4).toString('hex');
 
 /**
- * Sends one client attempt to a node. Resolves to what the client saw: `status` (0 without an answer), `head`,
+ * Sends one client attempt to a node, and reads the body after `pauseMs`. Resolves to what the client saw: `status` (0 without an answer), `head`,
  * `body`, `isWhole`, `firstMs` (time to the first byte of the body) and `ms`.
  */
-export function sendAttempt(node, { method = 'POST', path, head = {}, body, deadlineMs, id }) {
+export function sendAttempt(node, options) {
+  const { method = 'POST', path, head = {}, body, deadlineMs, id, pauseMs = 0 } = options;
   return new Promise((resolve) => {
     const startedAt = performance.now();
     const chunks = [];
@@ -54,6 +55,10 @@
       },
       (res) => {
         status = res.statusCode;
+        if (pauseMs > 0) {
+          res.pause();
+          setTimeout(() => res.resume(), pauseMs);
+        }
         responseHead = res.headers;
         res.on('data', (chunk) => {
           firstMs ??= performance.now() - startedAt;
