--- a/review/7/case.mjs
+++ b/review/7/case.mjs
@@ -15,12 +15,14 @@
 import { startStore } from '../lib-2/store.mjs';
 
 const ZONES = ['almaty-a', 'almaty-b', 'almaty-c'];
-const SERVERS = 10;
-const PREFILL_SERVERS = 2;
+const SERVERS = 13;
+const PREFILL_SERVERS = 3;
 const SERVER_RETURN_MS = 3_000;
 const SETTLE_MS = 4_000;
 const SOUND_PAUSE_MS = 400;
 /** Requests with the bad part: several at once, as when one caller sends several surveys. */
+/** The first batch is larger, so that the rule's five crashes come before the part is refused. */
+const FIRST_BATCH = 8;
 const BATCH = 5;
 const BATCH_GAP_MS = 60;
 const BATCH_INTERVAL_MS = 3_000;
@@ -131,7 +133,7 @@
   };
   const soundEnd = soundTraffic();
   await sleep(2_000);
-  await sendBatch(BATCH);
+  await sendBatch(FIRST_BATCH);
   for (let batch = 1; batch < BATCHES_BEFORE; batch += 1) await sendBatch(BATCH);
   const crashesBefore = crashes.length;
   const killedAt = performance.now();
