--- a/review/7/case.mjs
+++ b/review/7/case.mjs
@@ -4,11 +4,16 @@
 import process from 'node:process';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { fileURLToPath, URL } from 'node:url';
-import { hasTrouble, runCase } from '../lib-2/case.mjs';
+import { runCase } from '../lib-2/case.mjs';
 import { createPart } from '../lib-2/clients.mjs';
 import { startEngineSite } from '../lib-2/engine-site.mjs';
 import { bounds } from '../lib-2/nodes.mjs';
 
+/** What was sent, answered and run. */
+const RECORD = fileURLToPath(new URL('record.txt', import.meta.url));
+/** Whether the case runs with its disruption. */
+const hasTrouble = process.env.TROUBLE !== '0';
+
 const SOUND_PAUSE_MS = 400;
 const CALM_MS = 2_000;
 /** Requests with the bad part come one by one. */
@@ -27,7 +32,7 @@
   return [...earlier, part, createPart()].map((id) => `${id}:100`);
 }
 
-await runCase(fileURLToPath(new URL('.', import.meta.url)), async (record, defer) => {
+await runCase(RECORD, async (record, defer) => {
   const site = await startEngineSite(record, defer, {
     prefillServers: 2,
     decodeServers: 6,
--- a/review/8/case.mjs
+++ b/review/8/case.mjs
@@ -3,13 +3,19 @@
  * behind it.
  */
 import { performance } from 'node:perf_hooks';
+import process from 'node:process';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { fileURLToPath, URL } from 'node:url';
-import { hasTrouble, runCase } from '../lib-2/case.mjs';
+import { runCase } from '../lib-2/case.mjs';
 import { createPart } from '../lib-2/clients.mjs';
 import { startEngineSite } from '../lib-2/engine-site.mjs';
 import { bounds } from '../lib-2/nodes.mjs';
 
+/** What was sent, answered and run. */
+const RECORD = fileURLToPath(new URL('record.txt', import.meta.url));
+/** Whether the case runs with its disruption. */
+const hasTrouble = process.env.TROUBLE !== '0';
+
 /** Sound requests before the disruption, and from the moment at which the rule judges them. */
 const BASELINE_REQUESTS = 21;
 const JUDGED_REQUESTS = 21;
@@ -30,7 +36,7 @@
 
 const createPrompt = (first) => [`${first}:200`, `${INSTRUCTIONS}:200`, `${createPart()}:4800`];
 
-await runCase(fileURLToPath(new URL('.', import.meta.url)), async (record, defer) => {
+await runCase(RECORD, async (record, defer) => {
   const { nodes, crashes, send } = await startEngineSite(record, defer, {
     prefillServers: 2,
     decodeServers: 6,
--- a/review/lib-2/case.mjs
+++ b/review/lib-2/case.mjs
@@ -5,12 +5,9 @@
 
 const LIMIT_MS = 115_000;
 
-/** Whether the case runs with its disruption. */
-export const hasTrouble = process.env.TROUBLE !== '0';
-
-/** `run(record, defer)` resolves to whether the rule was broken; `defer` registers what ends the case. */
-export async function runCase(folder, run) {
-  const record = createRecord(folder);
+/** Records in the file at `path`. `run(record, defer)` resolves to whether the rule was broken; `defer` registers what ends the case. */
+export async function runCase(path, run) {
+  const record = createRecord(path);
   const deferred = [];
   const clean = async () => {
     for (const each of deferred.reverse()) {
--- a/review/lib-2/record.mjs
+++ b/review/lib-2/record.mjs
@@ -3,10 +3,10 @@
 import process from 'node:process';
 import { createWriteStream } from 'node:fs';
 
-/** Creates the record of a case in `folder`/record.txt. */
-export function createRecord(folder) {
+/** Creates the record of a case in the file at `path`. */
+export function createRecord(path) {
   const startedAt = performance.now();
-  const stream = createWriteStream(`${folder}/record.txt`);
+  const stream = createWriteStream(path);
   const note = (text) => {
     const seconds = ((performance.now() - startedAt) / 1_000).toFixed(3);
     stream.write(`${seconds.padStart(8)} ${text}\n`);
