Count, tell and refuse all parts of a prompt

Cause: limitParts kept the first 32 parts, so the bad one was neither counted nor told nor looked up. The same kind of bound: ids over 64 characters, 256 runs of an end, five end notices a second, 2,000 suspected parts, 50 quarantines in a report. Ruled out: lost messages; the node that saw the end did not count the part either. Change: all parts count, long ids by a hash. Ends that exceed a message or the allowance are told in part or later, and which part is left out differs from end to end. Reports name all quarantines in turn. Tests: the bound of suspected parts in part-quarantine.test.ts is 10,000 now and is flooded with 20,000 parts, not 4,000.

--- a/packages/core/src/hashing.ts
+++ b/packages/core/src/hashing.ts
@@ -8,6 +8,11 @@
   return hasher.h32(text, seed);
 }
 
+/** Returns the 64-bit xxHash of a text as 16 hexadecimal digits. */
+export function hash64(text: string): string {
+  return hasher.h64ToString(text).padStart(16, '0');
+}
+
 /**
  * Returns the candidates ordered by their rendezvous hash for a key, highest weight first. When a
  * candidate is removed, only the keys that ranked it first get another first candidate.
--- a/packages/serving/src/crash-protection.ts
+++ b/packages/serving/src/crash-protection.ts
@@ -2,10 +2,12 @@
  * Protects upstreams from requests that crash them: connects the detection of ended upstreams, the
  * quarantine of prompt parts, and the peers, which learn of each end and each cleared part at once.
  */
-import { monotonicMs, pickByRendezvous } from '@hibiscusbank/core';
+import { pickByRendezvous } from '@hibiscusbank/core';
 import type { Telemetry } from '@hibiscusbank/core';
 import { Hono } from 'hono';
 import { createAnsweredParts } from './answered-parts.js';
+import { createEndNotices } from './end-notices.js';
+import { toPartIds } from './part-ids.js';
 import { createPartQuarantine } from './part-quarantine.js';
 import type { QuarantinedParts } from './part-quarantine.js';
 import type { UpstreamEnd } from './part-suspicions.js';
@@ -18,21 +20,16 @@
   isClearNotice,
   isEndNotice,
   isQuarantine,
-  limitParts,
 } from './quarantine-notices.js';
 import type { AnsweredNotice, ClearNotice, EndNotice } from './quarantine-notices.js';
 import type { ServingRequest, ServingUpstream } from './types.js';
 import { createUpstreamEnds } from './upstream-ends.js';
 import type { RunEnd } from './upstream-ends.js';
 
-/** Maximum number of quarantines in a report, the latest first. */
-const MAX_REPORTED = 50;
-/**
- * Maximum number of end notices that a node sends within `NOTICE_WINDOW_MS`, so that the loss of many
- * upstreams at once does not flood a large fleet.
- */
-const MAX_NOTICES_IN_WINDOW = 5;
-const NOTICE_WINDOW_MS = 1_000;
+/** Maximum size of the quarantines in a report; further ones take their turn in the next reports. */
+const MAX_REPORTED_BYTES = 8_000;
+/** Maximum number of parts in a message, which has to fit into one datagram. */
+const MAX_PARTS_IN_MESSAGE = 500;
 /**
  * Time over which the nodes of a large fleet spread what they know of answers, so that most of them hear
  * it from others first. It ends before the decision on the cause of an end.
@@ -68,6 +65,13 @@
   readonly app: Hono;
 }
 
+function inMessages<T>(items: readonly T[]): readonly (readonly T[])[] {
+  const count = Math.ceil(items.length / MAX_PARTS_IN_MESSAGE);
+  return Array.from({ length: count }, (_, index) =>
+    items.slice(index * MAX_PARTS_IN_MESSAGE, (index + 1) * MAX_PARTS_IN_MESSAGE),
+  );
+}
+
 /** Creates the protection of one node. */
 export function createCrashProtection(options: CrashProtectionOptions): CrashProtection {
   const { self, transport, datagrams, recipients, telemetry } = options;
@@ -82,19 +86,33 @@
     datagrams.send(notice, recipients());
   };
 
-  let noticesSentAt: number[] = [];
-  const mayNotify = (): boolean => {
-    const now = monotonicMs();
-    noticesSentAt = noticesSentAt.filter((at) => now - at < NOTICE_WINDOW_MS);
-    if (noticesSentAt.length >= MAX_NOTICES_IN_WINDOW) return false;
-    noticesSentAt.push(now);
-    return true;
+  const endNotices = createEndNotices(send);
+
+  /** Ids of the parts of each running request's prompt. */
+  const idsOf = new WeakMap<readonly string[], readonly string[]>();
+  const readParts = ({ promptParts }: ServingRequest): readonly string[] => {
+    const ids = idsOf.get(promptParts) ?? toPartIds(promptParts);
+    idsOf.set(promptParts, ids);
+    return ids;
+  };
+
+  let reportedUpTo = 0;
+  const takeReport = (): readonly QuarantinedParts[] => {
+    const listed = quarantine.list();
+    const report: QuarantinedParts[] = [];
+    let size = 0;
+    for (let taken = 0; taken < listed.length && size < MAX_REPORTED_BYTES; taken += 1) {
+      reportedUpTo = (reportedUpTo + 1) % listed.length;
+      const entry = listed[reportedUpTo];
+      if (entry === undefined) break;
+      size += JSON.stringify(entry).length;
+      report.push(entry);
+    }
+    return report;
   };
 
-  const clear = (parts: readonly string[]): readonly string[] => {
-    const clearedParts = quarantine.clear(parts);
-    if (clearedParts.length > 0) send({ clearedParts });
-    return clearedParts;
+  const tellCleared = (parts: readonly string[]): void => {
+    for (const clearedParts of inMessages(parts)) send({ clearedParts });
   };
 
   const withJoint = (parts: readonly string[]): readonly string[] => [
@@ -107,9 +125,11 @@
     return clearedParts.length > 0;
   };
 
+  /** Lifts the quarantine of a part by the id that callers send or the one that is listed. */
+  const liftAny = (part: string): boolean => toPartIds([part]).some(lift) || lift(part);
+
   const tellAnswered = (parts: readonly string[]): void => {
-    const answeredParts = answered.takeUntold(parts);
-    if (answeredParts.length > 0) send({ answeredParts });
+    for (const answeredParts of inMessages(answered.takeUntold(parts))) send({ answeredParts });
   };
 
   /** Counts an end, and tells which of the suspects this node had answered lately. */
@@ -129,7 +149,7 @@
   const ends = createUpstreamEnds({
     isListening: transport.isListening,
     onEnd: (end) => {
-      if (mayNotify()) send({ end });
+      endNotices.tell(end);
       recordEnd(end);
     },
     telemetry,
@@ -138,18 +158,18 @@
   const app = new Hono();
   app.get(QUARANTINE_PATH, (c) => c.json(quarantine.list()));
   app.delete(`${QUARANTINE_PATH}/:part`, (c) =>
-    c.body(null, lift(c.req.param('part')) ? HTTP_NO_CONTENT : HTTP_NOT_FOUND),
+    c.body(null, liftAny(c.req.param('part')) ? HTTP_NO_CONTENT : HTTP_NOT_FOUND),
   );
 
   return {
     app,
-    findBlocked: ({ id, promptParts }) => quarantine.findBlocked(id, limitParts(promptParts)),
-    beginRun: (upstream, { id, promptParts }) => {
-      const parts = limitParts(promptParts);
+    findBlocked: (req) => quarantine.findBlocked(req.id, readParts(req)),
+    beginRun: (upstream, req) => {
+      const parts = readParts(req);
       if (parts.length === 0) return () => {};
       const finish = ends.begin(upstream, parts);
       return (end) => {
-        if (end === 'broken') quarantine.endTrial(id, parts);
+        if (end === 'broken') quarantine.endTrial(req.id, parts);
         if (end !== 'answered') {
           finish(end);
           return;
@@ -164,12 +184,12 @@
           finish(listening === false ? 'broken' : 'other');
           if (listening !== true) return;
           answered.record(parts);
-          clear(parts);
+          tellCleared(quarantine.clear(parts));
         });
       };
     },
     receive: (message) => {
-      if (isEndNotice(message)) recordEnd(message.end);
+      if (isEndNotice(message)) message.ends.forEach(recordEnd);
       else if (isAnsweredNotice(message)) learnAnswered(message);
       else if (isClearNotice(message)) {
         const { clearedParts, isLifted } = message;
@@ -177,16 +197,15 @@
       } else return false;
       return true;
     },
-    report: () => quarantine.list().slice(0, MAX_REPORTED),
+    report: takeReport,
     applyReport: (reported) => {
       if (!Array.isArray(reported)) return;
-      for (const entry of reported.slice(0, MAX_REPORTED)) {
+      for (const entry of reported) {
         if (!isQuarantine(entry)) {
           telemetry.log('peerReportRejected', { error: 'invalid quarantine in a report' });
           continue;
         }
-        const clearedParts = quarantine.adopt(entry);
-        if (clearedParts.length > 0) send({ clearedParts });
+        tellCleared(quarantine.adopt(entry));
       }
     },
   };
--- a/packages/serving/src/part-quarantine.ts
+++ b/packages/serving/src/part-quarantine.ts
@@ -31,6 +31,7 @@
 const TRIAL_LIMIT_MS = 30_000;
 /** Time without an end or a refused request after which a quarantine is forgotten. */
 const FORGET_AFTER_MS = 3_600_000;
+const FORGET_INTERVAL_MS = 1_000;
 /** Maximum number of quarantined parts; those that were needed last are kept. */
 const MAX_QUARANTINED = 2_000;
 /** Maximum number of cleared parts that are remembered. */
@@ -105,6 +106,7 @@
   const quarantineOf = new Map<string, Quarantine>();
   const clearedAt = new Map<string, number>();
   let decisionTimer: NodeJS.Timeout | undefined;
+  let forgotAt = -Infinity;
 
   const all = (): Quarantine[] => [...new Set(quarantineOf.values())];
   const findIn = (parts: readonly string[]): Quarantine[] => [
@@ -179,6 +181,8 @@
   };
 
   const forgetOld = (): void => {
+    if (monotonicMs() - forgotAt < FORGET_INTERVAL_MS) return;
+    forgotAt = monotonicMs();
     const before = monotonicMs() - FORGET_AFTER_MS;
     suspicions.forgetBefore(before);
     for (const quarantine of all()) if (quarantine.usedAt < before) remove(quarantine);
@@ -281,8 +285,7 @@
         suspicions.explain([end.key]);
         return;
       }
-      suspicions.count(end, (part) => !quarantineOf.has(part));
-      if (suspicions.findCulprits() !== undefined)
+      if (suspicions.count(end, (part) => !quarantineOf.has(part)))
         decisionTimer ??= setTimeout(decide, DECISION_DELAY_MS);
     },
     clear: (parts) => {
--- a/packages/serving/src/part-suspicions.ts
+++ b/packages/serving/src/part-suspicions.ts
@@ -9,7 +9,7 @@
 /** The same for a part that was answered lately, and so is more likely to stand beside the cause. */
 const ENDS_TO_BLAME_ANSWERED = 5;
 /** Maximum number of parts that are suspected, since callers choose the parts. */
-const MAX_PARTS = 2_000;
+const MAX_PARTS = 10_000;
 /** Maximum number of ends whose cause is remembered. */
 const MAX_EXPLAINED_ENDS = 200;
 
@@ -38,8 +38,11 @@
 
 export interface PartSuspicions {
   has(part: string): boolean;
-  /** Counts an end against the parts of the runs for which `isCounted` holds. */
-  count(end: UpstreamEnd, isCounted: (part: string) => boolean): void;
+  /**
+   * Counts an end against the parts of the runs for which `isCounted` holds. Returns whether one of them
+   * may have enough ends now.
+   */
+  count(end: UpstreamEnd, isCounted: (part: string) => boolean): boolean;
   findCulprits(): Culprits | undefined;
   /** An end has one cause, so explained ends no longer count against any part. */
   explain(keys: Iterable<string>): void;
@@ -70,7 +73,7 @@
    * Counts an end against a part once. Runs that were sent before the previous end was counted give
    * no new evidence: upstreams that end together were running sound parts as well.
    */
-  const countPart = (part: string, key: string, run: number, sentAt: number): void => {
+  const countPart = (part: string, key: string, run: number, sentAt: number): number => {
     const now = monotonicMs();
     const suspicion = suspicions.get(part) ?? {
       ends: new Map(),
@@ -81,14 +84,15 @@
     const runs = suspicion.ends.get(key);
     if (runs !== undefined) {
       if (sentAt >= suspicion.countedBefore) runs.add(run);
-      return;
+      return 0;
     }
-    if (sentAt < suspicion.countedAt) return;
+    if (sentAt < suspicion.countedAt) return 0;
     suspicions.set(part, suspicion);
     suspicion.ends.set(key, new Set([run]));
     suspicion.ageMs += now - sentAt;
     suspicion.countedBefore = suspicion.countedAt;
     suspicion.countedAt = now;
+    return suspicion.ends.size;
   };
 
   /**
@@ -106,14 +110,18 @@
   return {
     has: (part) => suspicions.has(part),
     count: ({ key, runs }, isCounted) => {
-      if (explained.has(key)) return;
+      if (explained.has(key)) return false;
       const now = monotonicMs();
+      let most = 0;
       // The youngest first, whose age is the one that counts.
       for (const { parts, ageMs } of [...runs].sort((a, b) => a.ageMs - b.ageMs)) {
         runCount += 1;
-        for (const part of parts) if (isCounted(part)) countPart(part, key, runCount, now - ageMs);
+        for (const part of parts) {
+          if (isCounted(part)) most = Math.max(most, countPart(part, key, runCount, now - ageMs));
+        }
       }
       limit(key);
+      return most >= ENDS_TO_BLAME;
     },
     findCulprits: () => {
       const candidates = [...suspicions]
@@ -143,6 +151,7 @@
     },
     explain: (keys) => {
       for (const key of keys) {
+        if (explained.has(key)) continue;
         explained.add(key);
         for (const [part, { ends }] of suspicions) {
           if (ends.delete(key) && ends.size === 0) suspicions.delete(part);
--- a/packages/serving/src/quarantine-notices.ts
+++ b/packages/serving/src/quarantine-notices.ts
@@ -5,15 +5,13 @@
 import type { QuarantinedParts } from './part-quarantine.js';
 import type { EndedRun, UpstreamEnd } from './part-suspicions.js';
 
-/** Limits of what is accepted from callers and peers. */
+/** Limits of what is accepted from peers, whose messages are bounded as a whole. */
 const MAX_PART_LENGTH = 64;
-const MAX_PARTS_PER_RUN = 32;
-const MAX_RUNS = 256;
 const MAX_KEYS = 64;
 const MAX_KEY_LENGTH = 256;
 
 export interface EndNotice {
-  readonly end: UpstreamEnd;
+  readonly ends: readonly UpstreamEnd[];
 }
 
 export interface ClearNotice {
@@ -33,7 +31,7 @@
 }
 
 function isPartList(value: unknown): value is readonly string[] {
-  return Array.isArray(value) && value.length <= MAX_PARTS_PER_RUN && value.every(isPart);
+  return Array.isArray(value) && value.every(isPart);
 }
 
 const isKey = (value: unknown): value is string =>
@@ -44,10 +42,15 @@
   return isPartList(parts) && isNonNegative(ageMs);
 }
 
-/** Whether a message tells that an upstream ended. */
+function isUpstreamEnd(value: unknown): value is UpstreamEnd {
+  const { key, runs } = (value ?? {}) as Partial<UpstreamEnd>;
+  return isKey(key) && Array.isArray(runs) && runs.every(isEndedRun);
+}
+
+/** Whether a message tells that upstreams ended. */
 export function isEndNotice(value: unknown): value is EndNotice {
-  const { key, runs } = ((value ?? {}) as Partial<EndNotice>).end ?? ({} as Partial<UpstreamEnd>);
-  return isKey(key) && Array.isArray(runs) && runs.length <= MAX_RUNS && runs.every(isEndedRun);
+  const { ends } = (value ?? {}) as Partial<EndNotice>;
+  return Array.isArray(ends) && ends.every(isUpstreamEnd);
 }
 
 /** Whether a message tells that parts were answered. */
@@ -78,8 +81,3 @@
     ends.every(isKey)
   );
 }
-
-/** Returns the parts that are taken into account: too long ids and the parts beyond a limit are not. */
-export function limitParts(parts: readonly string[]): readonly string[] {
-  return parts.filter(isPart).slice(0, MAX_PARTS_PER_RUN);
-}
--- a/packages/serving/src/upstream-ends.ts
+++ b/packages/serving/src/upstream-ends.ts
@@ -13,6 +13,9 @@
  */
 export type RunEnd = 'answered' | 'broken' | 'other';
 
+/** Maximum number of characters of parts in a log line. */
+const MAX_LOGGED_CHARS = 2_000;
+
 export interface UpstreamEndsOptions {
   readonly isListening: (upstream: ServingUpstream) => Promise<boolean | undefined>;
   readonly onEnd: (end: UpstreamEnd) => void;
@@ -60,7 +63,10 @@
         upstream: upstream.id,
         startedAt: upstream.startedAt,
         runs: suspects.length,
-        parts: suspects.map(({ parts }) => parts.join(',')).join(' '),
+        parts: suspects
+          .map(({ parts }) => parts.join(','))
+          .join(' ')
+          .slice(0, MAX_LOGGED_CHARS),
       });
       onEnd({
         key,
--- a/packages/serving/test/part-quarantine.test.ts
+++ b/packages/serving/test/part-quarantine.test.ts
@@ -180,15 +180,15 @@
   let suspected = 0;
   for (let end = 0; end < 40; end += 1) {
     vi.advanceTimersByTime(1_000);
-    const runs = Array.from({ length: 100 }, (_, index) => run(10, `part-${end}-${index}`));
+    const runs = Array.from({ length: 500 }, (_, index) => run(10, `part-${end}-${index}`));
     quarantine.recordEnd({ key: `flood-${end}`, runs });
   }
   for (let end = 0; end < 40; end += 1) {
-    for (let index = 0; index < 100; index += 1) {
+    for (let index = 0; index < 500; index += 1) {
       if (quarantine.isSuspected([`part-${end}-${index}`])) suspected += 1;
     }
   }
-  expect(suspected).toBeLessThanOrEqual(2_000);
+  expect(suspected).toBeLessThanOrEqual(10_000);
   expect(blockedPart(quarantine, ...deadly)).toBe('deadly');
 });
 
