Keep quarantines of prompt parts in the platform's store

Cause: quarantines were in the memory of the processes alone, so nobody knew them after all had ended. Ruled out: nodes that are ready before a peer's first report; no peer had anything to report. Change: one entry in the store holds all quarantines.

--- a/packages/serving/src/context.ts
+++ b/packages/serving/src/context.ts
@@ -51,7 +51,7 @@
   readonly coldLimit: ColdLimit;
   /** Permits for requests to upstreams that limit the rate of all nodes. */
   readonly permits: Pick<RequestLimits, 'mayAsk' | 'nextPermitMs' | 'acquire' | 'expectedRate'>;
-  readonly crashProtection: Pick<CrashProtection, 'findBlocked' | 'beginRun'>;
+  readonly crashProtection: Pick<CrashProtection, 'findBlocked' | 'beginRun' | 'isWaiting'>;
   /** Upstreams that stated that they leave or want no requests for a while. */
   readonly unavailable: Pick<UnavailableUpstreams, 'find' | 'returnMs' | 'recordSend'>;
   /** Moves the traffic of pools to other software versions. */
--- a/packages/serving/src/crash-protection.ts
+++ b/packages/serving/src/crash-protection.ts
@@ -2,7 +2,7 @@
  * Protects upstreams from requests that crash them: connects the detection of ended upstreams, the
  * quarantine of prompt parts, and the peers, which learn of each end and each cleared part at once.
  */
-import { pickByRendezvous } from '@hibiscusbank/core';
+import { monotonicMs, pickByRendezvous } from '@hibiscusbank/core';
 import type { Telemetry } from '@hibiscusbank/core';
 import { Hono } from 'hono';
 import { createAnsweredParts } from './answered-parts.js';
@@ -14,7 +14,7 @@
 import type { PeerDatagrams } from './peer-datagrams.js';
 import { isLargeFleet } from './peer-reports.js';
 import type { KnownPeer } from './peer-reports.js';
-import type { UpstreamTransport } from './ports.js';
+import type { EntryStore, UpstreamTransport } from './ports.js';
 import {
   isAnsweredNotice,
   isClearNotice,
@@ -22,6 +22,8 @@
   isQuarantine,
 } from './quarantine-notices.js';
 import type { AnsweredNotice, ClearNotice, EndNotice } from './quarantine-notices.js';
+import type { StoreEra } from './store-era.js';
+import { createStoredQuarantines } from './stored-quarantines.js';
 import type { ServingRequest, ServingUpstream } from './types.js';
 import { createUpstreamEnds } from './upstream-ends.js';
 import type { RunEnd } from './upstream-ends.js';
@@ -30,6 +32,8 @@
 const MAX_REPORTED_BYTES = 8_000;
 /** Maximum number of parts in a message, which has to fit into one datagram. */
 const MAX_PARTS_IN_MESSAGE = 500;
+/** Time after which a started node may try parts, since it knows its peers by then. */
+const TRIAL_AFTER_START_MS = 5_000;
 /**
  * Time over which the nodes of a large fleet spread what they know of answers, so that most of them hear
  * it from others first. It ends before the decision on the cause of an end.
@@ -42,6 +46,9 @@
 export interface CrashProtectionOptions {
   readonly self: string;
   readonly transport: Pick<UpstreamTransport, 'isListening'>;
+  /** Keeps the quarantines when all processes end. */
+  readonly store: EntryStore;
+  readonly era: Pick<StoreEra, 'onChange'>;
   readonly datagrams: Pick<PeerDatagrams, 'send'>;
   readonly recipients: () => readonly KnownPeer[];
   /** Returns the names of the live peers. */
@@ -59,8 +66,14 @@
   receive(message: unknown): boolean;
   /** Returns the quarantines for the report to peers. */
   report(): readonly QuarantinedParts[];
-  /** Applies the quarantines that a peer reports. */
-  applyReport(reported: unknown): void;
+  /** Applies the quarantines that a peer reports. `isRestored`: whether the peer knows all that are stored. */
+  applyReport(reported: unknown, isRestored: boolean | undefined): void;
+  /** Whether this node knows the quarantines that earlier processes stored. */
+  isRestored(): boolean;
+  /** Whether prompts must wait until this node has learned the stored quarantines. */
+  isWaiting(): boolean;
+  /** Reads and writes the stored quarantines until the signal aborts. */
+  run(signal: AbortSignal): Promise<void>;
   /** HTTP handlers for operators: lists the quarantines, and lifts one. */
   readonly app: Hono;
 }
@@ -76,9 +89,23 @@
 export function createCrashProtection(options: CrashProtectionOptions): CrashProtection {
   const { self, transport, datagrams, recipients, telemetry } = options;
   const answered = createAnsweredParts();
+  const startedAt = monotonicMs();
   const quarantine = createPartQuarantine({
-    mayTry: (parts) => pickByRendezvous(parts.join(), [self, ...options.peers()]) === self,
+    mayTry: (parts) =>
+      monotonicMs() - startedAt >= TRIAL_AFTER_START_MS &&
+      pickByRendezvous(parts.join(), [self, ...options.peers()]) === self,
     answered,
+    // The quarantine is complete before its first change.
+    // eslint-disable-next-line @typescript-eslint/no-use-before-define
+    onChange: () => stored.save(),
+    telemetry,
+  });
+  const stored = createStoredQuarantines({
+    self,
+    store: options.store,
+    era: options.era,
+    quarantine,
+    peers: options.peers,
     telemetry,
   });
 
@@ -198,7 +225,10 @@
       return true;
     },
     report: takeReport,
-    applyReport: (reported) => {
+    isRestored: stored.isRestored,
+    isWaiting: stored.isWaiting,
+    run: stored.run,
+    applyReport: (reported, isRestored) => {
       if (!Array.isArray(reported)) return;
       for (const entry of reported) {
         if (!isQuarantine(entry)) {
@@ -207,6 +237,7 @@
         }
         tellCleared(quarantine.adopt(entry));
       }
+      if (isRestored === true) stored.markRestored();
     },
   };
 }
--- a/packages/serving/src/part-quarantine.ts
+++ b/packages/serving/src/part-quarantine.ts
@@ -78,6 +78,8 @@
   /** Whether this node is the one that tries quarantined parts again. */
   readonly mayTry: (parts: readonly string[]) => boolean;
   readonly answered: Pick<AnsweredParts, 'isRecent'>;
+  /** Called when a quarantine began, ended or changed. */
+  readonly onChange: () => void;
   readonly telemetry: Telemetry;
 }
 
@@ -101,7 +103,7 @@
 
 /** Creates an empty quarantine. */
 export function createPartQuarantine(options: PartQuarantineOptions): PartQuarantine {
-  const { mayTry, answered, telemetry } = options;
+  const { mayTry, answered, onChange, telemetry } = options;
   const suspicions = createPartSuspicions(answered.isRecent);
   const quarantineOf = new Map<string, Quarantine>();
   const clearedAt = new Map<string, number>();
@@ -112,7 +114,10 @@
   const findIn = (parts: readonly string[]): Quarantine[] => [
     ...new Set(parts.flatMap((part) => quarantineOf.get(part) ?? [])),
   ];
-  const updateMetrics = (): void => telemetry.metrics.quarantinedParts.set(all().length);
+  const publish = (): void => {
+    telemetry.metrics.quarantinedParts.set(quarantineOf.size);
+    onChange();
+  };
 
   const describe = ({ parts, since, lengthMs, usedAt, ends }: Quarantine): QuarantinedParts => ({
     parts: [...parts],
@@ -130,7 +135,7 @@
 
   const remove = (quarantine: Quarantine): void => {
     for (const part of quarantine.parts) quarantineOf.delete(part);
-    updateMetrics();
+    publish();
   };
 
   const start = (
@@ -157,7 +162,7 @@
       remove(all().reduce((a, b) => (b.usedAt < a.usedAt ? b : a)));
     }
     telemetry.log('partQuarantined', describeForLog(quarantine));
-    updateMetrics();
+    publish();
     return quarantine;
   };
 
@@ -177,7 +182,7 @@
       quarantine.changedAt = monotonicMs();
       telemetry.log('quarantineNarrowed', { ...describeForLog(quarantine), reason });
     }
-    updateMetrics();
+    publish();
   };
 
   const forgetOld = (): void => {
@@ -224,6 +229,7 @@
     quarantine.lengthMs = Math.min(MAX_QUARANTINE_MS, Math.max(FIRST_QUARANTINE_MS, lengthMs * 2));
     quarantine.trial = undefined;
     telemetry.log('partQuarantined', describeForLog(quarantine));
+    publish();
   };
 
   /** Applies an end to a quarantine. Returns whether the quarantine explains it. */
@@ -322,6 +328,7 @@
         quarantine.since = since;
         quarantine.lengthMs = Math.min(MAX_QUARANTINE_MS, lengthMs);
         quarantine.trial = undefined;
+        publish();
       }
       if (known.length > 0) return cleared;
       const adopted = start(others, ends, Math.min(MAX_QUARANTINE_MS, lengthMs));
--- a/packages/serving/src/serving-gateway.ts
+++ b/packages/serving/src/serving-gateway.ts
@@ -256,6 +256,12 @@
       return;
     }
     const req = decoded.value;
+    if (req.promptParts.length > 0 && context.crashProtection.isWaiting()) {
+      const options = { effect: 'not_run', retryAfterMs: NOT_READY_RETRY_MS } as const;
+      const message = 'the node has not read which prompt parts are quarantined; retry at once';
+      refuse(createError('not_ready', message, options), req.id);
+      return;
+    }
     const earlyCheck = authorise(req);
     if (earlyCheck.isErr()) {
       refuse(earlyCheck.error, req.id);
--- a/packages/serving/src/serving-node-options.ts
+++ b/packages/serving/src/serving-node-options.ts
@@ -35,6 +35,8 @@
     readonly outOfService: EntryStore;
     readonly nodes: EntryStore;
     readonly leases: EntryStore;
+    /** Prompt parts that end upstreams. */
+    readonly quarantines: EntryStore;
     /** `undefined` if operators order no roll-outs. */
     readonly rollouts: EntryStore | undefined;
   };
--- a/packages/serving/src/serving-node.ts
+++ b/packages/serving/src/serving-node.ts
@@ -71,7 +71,13 @@
   const drainTime = createDrainTime();
   const changing = createChangingRoles(livePeers.reports);
   let isListening = false;
-  const isReady = (): boolean => isListening && directory.isComplete() && !drainTime.isDraining();
+  const isReady = (): boolean =>
+    isListening &&
+    directory.isComplete() &&
+    // The protection is complete before the first check of readiness.
+    // eslint-disable-next-line @typescript-eslint/no-use-before-define
+    !crashProtection.isWaiting() &&
+    !drainTime.isDraining();
 
   const self: KnownPeer = {
     node: options.name,
@@ -121,6 +127,8 @@
   const crashProtection = createCrashProtection({
     self: self.node,
     transport,
+    store: stores.quarantines,
+    era: options.era,
     datagrams,
     recipients,
     peers: livePeers.names,
@@ -345,6 +353,7 @@
       void registry.run(stopping.signal);
       void roleOrders.run(stopping.signal);
       void rollouts.run(stopping.signal);
+      void crashProtection.run(stopping.signal);
     },
     drain,
   };
--- a/packages/serving/test/part-quarantine.test.ts
+++ b/packages/serving/test/part-quarantine.test.ts
@@ -27,6 +27,7 @@
   return createPartQuarantine({
     mayTry: () => mayTry,
     answered: { isRecent: (part) => answered.includes(part) },
+    onChange: () => {},
     telemetry: createTelemetry({}, () => {}),
   });
 }
--- a/packages/serving/test/peer-reports.test.ts
+++ b/packages/serving/test/peer-reports.test.ts
@@ -23,6 +23,7 @@
   changing: {},
   prefillMs: {},
   quarantined: [],
+  isRestored: true,
   limits: [],
   leaving: [],
 };
--- a/packages/serving/test/support/crash-fleet.ts
+++ b/packages/serving/test/support/crash-fleet.ts
@@ -1,8 +1,11 @@
 import { createTelemetry } from '@hibiscusbank/core';
+import { err } from 'neverthrow';
 import { vi } from 'vitest';
 import { createCrashProtection } from '../../src/crash-protection.js';
 import type { CrashProtection } from '../../src/crash-protection.js';
 import type { ServingRequest, ServingUpstream } from '../../src/index.js';
+import { createFakeStore, createTestEra } from './fake-store.js';
+import type { FakeStore } from './fake-store.js';
 import { createUpstream, enginePool } from './test-node.js';
 
 /** Largest message that a node sends to its peers. */
@@ -25,15 +28,20 @@
   readonly protection: CrashProtection;
   /** Nodes that get the messages of this one. */
   peers: Node[];
+  readonly stop: () => void;
 }
 
 export interface Fleet {
   readonly nodes: Node[];
+  /** Keeps the quarantines. */
+  readonly store: FakeStore;
   readonly ends: { deadly: number; ordinary: number };
   /** Sends a request by a node to an engine; counts it by how it ends. */
   serve(node: Node, engine: number, parts: readonly string[]): void;
   end(engine: number): void;
   restartNode(index: number): void;
+  /** Ends all processes at once and starts new ones. */
+  restartAll(): void;
   readonly counts: Record<'whole' | 'broken' | 'refused', number>;
   readonly refusedSound: string[];
   /** Times of the ends under deadly requests. */
@@ -53,13 +61,25 @@
     return engine !== undefined && isUp(engine);
   };
   const nodes: Node[] = [];
+  const store = createFakeStore();
 
   const createNode = (name: string): Node => {
+    const stopping = new AbortController();
+    const era = createTestEra();
+    const access = store.connect(era);
     const node: Node = {
       peers: [],
+      stop: () => stopping.abort(),
       protection: createCrashProtection({
         self: name,
         transport: { isListening },
+        store: {
+          ...access,
+          // A process that was ended writes no more.
+          write: async (...args) =>
+            stopping.signal.aborted ? err('unavailable' as const) : access.write(...args),
+        },
+        era,
         datagrams: {
           send: (message) => {
             const bytes = JSON.stringify(message);
@@ -76,6 +96,7 @@
         telemetry: createTelemetry({}, () => {}),
       }),
     };
+    void node.protection.run(stopping.signal);
     return node;
   };
   for (let index = 0; index < nodeCount; index += 1) nodes.push(createNode(`node-${index}`));
@@ -86,6 +107,7 @@
 
   const fleet: Fleet = {
     nodes,
+    store,
     ends: { deadly: 0, ordinary: 0 },
     counts: { whole: 0, broken: 0, refused: 0 },
     refusedSound: [],
@@ -102,6 +124,10 @@
       const engine = engines.find((candidate, at) => at >= index && isUp(candidate));
       if (engine === undefined) return;
       const req = { id: `${now()}-${parts.join()}`, promptParts: parts } as ServingRequest;
+      if (node.protection.isWaiting()) {
+        fleet.counts.refused += 1;
+        return;
+      }
       if (node.protection.findBlocked(req) !== undefined) {
         fleet.counts.refused += 1;
         if (!parts.some((part) => part.startsWith(DEADLY))) fleet.refusedSound.push(parts.join());
@@ -129,9 +155,21 @@
       }, CRASH_AFTER_MS);
     },
     restartNode: (index) => {
+      nodes[index]?.stop();
       nodes[index] = createNode(`node-${index}`);
       connect();
-      for (const peer of nodes) nodes[index]?.protection.applyReport(peer.protection.report());
+      for (const peer of nodes)
+        nodes[index]?.protection.applyReport(peer.protection.report(), true);
+    },
+    restartAll: () => {
+      for (const node of nodes) {
+        node.stop();
+        node.peers = [];
+      }
+      nodes.forEach((_, index) => {
+        nodes[index] = createNode(`node-${index}`);
+      });
+      connect();
     },
   };
   return fleet;
--- a/packages/serving/test/support/test-node.ts
+++ b/packages/serving/test/support/test-node.ts
@@ -211,6 +211,7 @@
   readonly outOfService: FakeStore;
   readonly nodes: FakeStore;
   readonly leases: FakeStore;
+  readonly quarantines: FakeStore;
   readonly rollouts: FakeStore;
 }
 
@@ -224,6 +225,7 @@
     nodes: createFakeStore(era),
     leases: createFakeStore(era),
     rollouts: createFakeStore(era),
+    quarantines: createFakeStore(era),
   };
   stores.tables.put('main', tables);
   return stores;
