Let callers read their answers before a stopped node ends

Cause: a response that had been ended counted as sent. The runtime closed its connection as idle, and the drain did not wait for it. Ruled out: the limits of unread responses; a stop alone, since answers that the kernel takes at once were whole. Change: a request is active until its response has been handed to the operating system; connections are closed as idle only when no response waits.

--- a/packages/gateway/src/http-server.ts
+++ b/packages/gateway/src/http-server.ts
@@ -1,6 +1,6 @@
 /** HTTP server for a Hono application. */
 import { createServer } from 'node:http';
-import type { Server } from 'node:http';
+import type { Server, ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import { monotonicMs } from '@hibiscusbank/core';
 import { getRequestListener } from '@hono/node-server';
@@ -34,6 +34,37 @@
   readonly onError?: (error: Error) => void;
 }
 
+/** Whether a response has been ended, but not been handed to the operating system yet. */
+const isUnwritten = (res: ServerResponse): boolean =>
+  res.writableEnded && !res.writableFinished && !res.destroyed;
+
+/**
+ * Lets connections that are closed as idle write the rest of their last response first. The runtime takes
+ * a connection for idle when its response has been ended, and `close` closes such connections as well.
+ */
+function keepUnwritten(server: Server): void {
+  const responses = new Set<ServerResponse>();
+  const closeIdle = server.closeIdleConnections.bind(server);
+  server.on('request', (_, res) => {
+    responses.add(res);
+    res.once('close', () => responses.delete(res));
+  });
+  server.closeIdleConnections = () => {
+    const unwritten = [...responses].filter(isUnwritten);
+    if (unwritten.length === 0) {
+      closeIdle();
+      return;
+    }
+    const written = unwritten.map(
+      (res) =>
+        new Promise((resolve) => {
+          res.once('close', resolve);
+        }),
+    );
+    void Promise.all(written).then(closeIdle);
+  };
+}
+
 /** Creates the server, which listens after `start`. */
 export function createHttpServer(
   fetch: Parameters<typeof getRequestListener>[0],
@@ -63,6 +94,7 @@
             void listener(req, res);
           },
         );
+        keepUnwritten(server);
         server.on('connection', () => {
           lastConnectionAt = monotonicMs();
         });
--- a/packages/serving/src/serving-gateway.ts
+++ b/packages/serving/src/serving-gateway.ts
@@ -32,6 +32,7 @@
 export interface ServingGateway {
   /** Serves one request to the end of its response. Never rejects. */
   serve(exchange: HttpExchange): Promise<void>;
+  /** Returns the number of requests whose response has not been written out. */
   activeRequests(): number;
   /** Ends all requests with the response that fits what is known of them. */
   endRequests(): void;
@@ -74,6 +75,12 @@
   else outgoing.once('finish', () => incoming.socket.end());
 }
 
+/** Calls the listener when a response has been handed to the operating system, or its connection is gone. */
+function whenWritten(outgoing: HttpExchange['outgoing'], listener: () => void): void {
+  if (!outgoing.writableEnded || outgoing.writableFinished || outgoing.destroyed) listener();
+  else outgoing.once('close', listener);
+}
+
 /** Creates the gateway of a node. */
 export function createServingGateway({
   context,
@@ -310,7 +317,9 @@
           'unknown',
         );
       } finally {
-        active -= 1;
+        whenWritten(outgoing, () => {
+          active -= 1;
+        });
         if (drain.isDraining()) closeAfterResponse(exchange);
       }
     },
