Name what a node knows of stored quarantines apart from restored stores

Cause: "restored" already means a store that came back from a copy. Change: names only: isKnown, markKnown, knowsQuarantines, and the event quarantinesRead. Result: typecheck, lint and the tests of packages/core and of quarantines pass.

--- a/packages/core/src/events.ts
+++ b/packages/core/src/events.ts
@@ -168,7 +168,7 @@
   bodyRefused: defineEvent(1842, 'info', 'body of a caller refused'),
   responseUnread: defineEvent(1843, 'warn', 'response closed; its caller does not read it'),
   quarantineNarrowed: defineEvent(1844, 'info', 'fewer prompt parts in a quarantine'),
-  quarantinesRestored: defineEvent(1845, 'info', 'quarantines read from the store at the start'),
+  quarantinesRead: defineEvent(1845, 'info', 'quarantines read from the store at the start'),
   quarantinesStored: defineEvent(1846, 'info', 'quarantines written to the store'),
   settingsReloaded: defineEvent(1816, 'info', 'settings reloaded'),
 
--- a/packages/serving/src/crash-protection.ts
+++ b/packages/serving/src/crash-protection.ts
@@ -66,10 +66,10 @@
   receive(message: unknown): boolean;
   /** Returns the quarantines for the report to peers. */
   report(): readonly QuarantinedParts[];
-  /** Applies the quarantines that a peer reports. `isRestored`: whether the peer knows all that are stored. */
-  applyReport(reported: unknown, isRestored: boolean | undefined): void;
+  /** Applies the quarantines that a peer reports. `knowsQuarantines`: whether the peer knows all that are stored. */
+  applyReport(reported: unknown, knowsQuarantines: boolean | undefined): void;
   /** Whether this node knows the quarantines that earlier processes stored. */
-  isRestored(): boolean;
+  knowsQuarantines(): boolean;
   /** Whether prompts must wait until this node has learned the stored quarantines. */
   isWaiting(): boolean;
   /** Reads and writes the stored quarantines until the signal aborts. */
@@ -225,10 +225,10 @@
       return true;
     },
     report: takeReport,
-    isRestored: stored.isRestored,
+    knowsQuarantines: stored.isKnown,
     isWaiting: stored.isWaiting,
     run: stored.run,
-    applyReport: (reported, isRestored) => {
+    applyReport: (reported, knowsQuarantines) => {
       if (!Array.isArray(reported)) return;
       for (const entry of reported) {
         if (!isQuarantine(entry)) {
@@ -237,7 +237,7 @@
         }
         tellCleared(quarantine.adopt(entry));
       }
-      if (isRestored === true) stored.markRestored();
+      if (knowsQuarantines === true) stored.markKnown();
     },
   };
 }
--- a/packages/serving/src/node-reports.ts
+++ b/packages/serving/src/node-reports.ts
@@ -69,7 +69,7 @@
       changing: changing.localOrders(),
       prefillMs: prefillWork.localTotals(),
       quarantined: crashProtection.report(),
-      isRestored: crashProtection.isRestored(),
+      knowsQuarantines: crashProtection.knowsQuarantines(),
       limits: limits.report(),
       leaving: unavailable.report(),
     }),
@@ -90,7 +90,7 @@
       prefillLoads.applyPeer(report.node, report.prefill);
       prefillWork.applyPeer(report.node, report.startedAt, report.prefillMs);
       quota.applyReport(report);
-      crashProtection.applyReport(report.quarantined, report.isRestored);
+      crashProtection.applyReport(report.quarantined, report.knowsQuarantines);
       limits.applyReport(report.limits);
       unavailable.applyReport(report.leaving);
     },
--- a/packages/serving/src/peer-reports.ts
+++ b/packages/serving/src/peer-reports.ts
@@ -72,7 +72,7 @@
   /** Quarantines of prompt parts, the latest first. */
   readonly quarantined: readonly QuarantinedParts[];
   /** Whether the node knows the quarantines that are in the store. */
-  readonly isRestored: boolean;
+  readonly knowsQuarantines: boolean;
   /** Limits that upstreams stated, to this node or to others. */
   readonly limits: readonly LimitStatement[];
   /** Upstreams that stated that they leave, to this node or to others. */
@@ -92,7 +92,7 @@
   | 'changing'
   | 'prefillMs'
   | 'quarantined'
-  | 'isRestored'
+  | 'knowsQuarantines'
   | 'limits'
   | 'leaving'
 >;
--- a/packages/serving/src/stored-quarantines.ts
+++ b/packages/serving/src/stored-quarantines.ts
@@ -45,11 +45,11 @@
 
 export interface StoredQuarantines {
   /** Whether this node knows what earlier processes stored. */
-  isRestored(): boolean;
+  isKnown(): boolean;
   /** Whether prompts must wait, since this node may still learn what was stored. */
   isWaiting(): boolean;
   /** Records that a peer which knows the stored quarantines has told this node of them. */
-  markRestored(): void;
+  markKnown(): void;
   /** Writes the quarantines after a change. */
   save(): void;
   run(signal: AbortSignal): Promise<void>;
@@ -120,7 +120,7 @@
     isAdopting = true;
     stored.forEach(quarantine.adopt);
     isAdopting = false;
-    if (!isKnown) telemetry.log('quarantinesRestored', { quarantines: stored.length });
+    if (!isKnown) telemetry.log('quarantinesRead', { quarantines: stored.length });
     return { entry: result.value };
   };
 
@@ -168,9 +168,9 @@
   };
 
   return {
-    isRestored: () => isKnown,
+    isKnown: () => isKnown,
     isWaiting: () => !isKnown && monotonicMs() - startedAt < RESTORE_LIMIT_MS,
-    markRestored: () => {
+    markKnown: () => {
       isKnown = true;
     },
     save,
--- a/packages/serving/test/peer-reports.test.ts
+++ b/packages/serving/test/peer-reports.test.ts
@@ -23,7 +23,7 @@
   changing: {},
   prefillMs: {},
   quarantined: [],
-  isRestored: true,
+  knowsQuarantines: true,
   limits: [],
   leaving: [],
 };
--- a/packages/serving/test/stored-quarantines.test.ts
+++ b/packages/serving/test/stored-quarantines.test.ts
@@ -131,17 +131,17 @@
   await vi.advanceTimersByTimeAsync(2_900);
   expect(process.stored.isWaiting()).toBe(true);
   await vi.advanceTimersByTimeAsync(200);
-  expect([process.stored.isWaiting(), process.stored.isRestored()]).toEqual([false, false]);
+  expect([process.stored.isWaiting(), process.stored.isKnown()]).toEqual([false, false]);
   store.setDown(false);
   await vi.advanceTimersByTimeAsync(300);
-  expect([process.stored.isRestored(), blocked(process, 'deadly')]).toEqual([true, true]);
+  expect([process.stored.isKnown(), blocked(process, 'deadly')]).toEqual([true, true]);
 });
 
 // Guards against waiting for a store that is away although a peer knows what it holds.
 test('a node that hears from a peer does not wait for the store', () => {
   const { stored } = startProcess(createFakeStore());
   expect(stored.isWaiting()).toBe(true);
-  stored.markRestored();
+  stored.markKnown();
   expect(stored.isWaiting()).toBe(false);
 });
 
