Keep the early trial of a part when a peer still reports both

Cause: a node that has narrowed a quarantine to one part, which is to be tried after 3 s, took the length of 60 s from a report that a peer had sent just before. Found by reading. Change: a report about more parts says nothing about the length of fewer. Result: the new test in part-quarantine.test.ts fails before (60,000 ms, 3,000 expected).

--- a/packages/serving/src/part-quarantine.ts
+++ b/packages/serving/src/part-quarantine.ts
@@ -324,7 +324,8 @@
       for (const quarantine of known) {
         quarantine.usedAt = Math.max(quarantine.usedAt, usedAt);
         narrow(quarantine, (part) => others.includes(part), 'told by a peer');
-        if (quarantine.lengthMs >= lengthMs) continue;
+        // A peer that has not narrowed it yet tells the length of the wider quarantine.
+        if (quarantine.parts.size < parts.length || quarantine.lengthMs >= lengthMs) continue;
         quarantine.since = since;
         quarantine.lengthMs = Math.min(MAX_QUARANTINE_MS, lengthMs);
         quarantine.trial = undefined;
--- a/packages/serving/test/part-quarantine.test.ts
+++ b/packages/serving/test/part-quarantine.test.ts
@@ -291,3 +291,16 @@
   expect(blockedPart(quarantine, 'first')).toBe('first');
   expect(blockedPart(quarantine, 'second')).toBe('second');
 });
+
+// Guards against a report that was under way while an end told two parts apart.
+test('a report on both parts does not put off the trial of the one that is left', () => {
+  const quarantine = createQuarantine();
+  endInTurn(quarantine, [deadly, deadly, deadly]);
+  const [both] = quarantine.list();
+  vi.advanceTimersByTime(1_000);
+  quarantine.recordEnd({ key: 'fourth', runs: [run(50, 'other', 'deadly')] });
+  quarantine.adopt(both ?? expect.fail());
+  expect(quarantine.findBlocked('one', ['deadly'])?.lengthMs).toBe(3_000);
+  vi.advanceTimersByTime(3_000);
+  expect(quarantine.findBlocked('two', ['deadly'])).toBeUndefined();
+});
