Do not take a lifted quarantine from an old entry of the store

Cause: the age of a stored quarantine was cut at its length. If the entry was older than that, as after a store that was away, the quarantine seemed to have begun after it was lifted, and was adopted again. Found by reading. Change: the age is what the clocks say, 0 at least. A part that is due for a trial is tried by one request at a time, however old. Tests: the test of stepped clocks expected that cut. It now expects what the cut was for: the part is refused but to one trial at a time, after a minute at the latest.

--- a/packages/serving/src/stored-quarantines.ts
+++ b/packages/serving/src/stored-quarantines.ts
@@ -85,8 +85,8 @@
 }
 
 /**
- * Reads the quarantines of an entry. A clock that was stepped changes the age by no more than the length,
- * and nothing that is stored counts as forgotten.
+ * Reads the quarantines of an entry. Nothing that is stored counts as forgotten, and a part whose age is
+ * wrong because a clock was stepped is tried by one request at a time all the same.
  */
 function decodeEntry({ value }: StoredEntry): readonly QuarantinedParts[] {
   const { quarantines } = (value ?? {}) as { readonly quarantines?: unknown };
@@ -94,7 +94,7 @@
   return quarantines.flatMap((stored: Partial<StoredQuarantine> | null) => {
     const { parts, ends, lengthMs, startedAt } = stored ?? {};
     if (!isNonNegative(lengthMs) || !isNonNegative(startedAt)) return [];
-    const ageMs = Math.min(lengthMs, Math.max(0, Date.now() - startedAt));
+    const ageMs = Math.max(0, Date.now() - startedAt);
     const decoded = { parts, ends, lengthMs, ageMs, idleMs: 0 };
     return isQuarantine(decoded) ? [decoded] : [];
   });
