Read the stored quarantines also after a peer has told its own

Cause: a report of a peer that knows the entry ended a starting node's attempts to read it, although the report may name a part of the quarantines only. Found by reading. Change: a peer's report ends the wait of requests; the node goes on until it has read the entry itself. Result: the new test fails before (the part of the entry is not refused).

--- a/packages/serving/src/stored-quarantines.ts
+++ b/packages/serving/src/stored-quarantines.ts
@@ -55,6 +55,12 @@
   run(signal: AbortSignal): Promise<void>;
 }
 
+interface ReadEntry {
+  /** `undefined` before the first write. */
+  readonly entry: StoredEntry | undefined;
+  readonly stored: readonly QuarantinedParts[];
+}
+
 /** Text that differs when what is stored differs in more than the passing of time. */
 function toSignature(quarantines: readonly Pick<QuarantinedParts, 'parts' | 'lengthMs'>[]): string {
   return quarantines
@@ -104,7 +110,8 @@
 export function createStoredQuarantines(options: StoredQuarantinesOptions): StoredQuarantines {
   const { self, store, era, quarantine, telemetry } = options;
   const startedAt = monotonicMs();
-  let isKnown = false;
+  let hasRead = false;
+  let isToldByPeer = false;
   let isSaving = false;
   let hasChanged = false;
   let isAdopting = false;
@@ -113,26 +120,26 @@
   const rank = (): number => rankByRendezvous(ENTRY_NAME, [self, ...options.peers()]).indexOf(self);
 
   /** Reads the entry and applies it. Returns `undefined` if the store is away. */
-  const read = async (): Promise<{ readonly entry: StoredEntry | undefined } | undefined> => {
+  const read = async (): Promise<ReadEntry | undefined> => {
     const result = await store.read(ENTRY_NAME);
-    if (result.isErr()) return result.error === 'absent' ? { entry: undefined } : undefined;
-    const stored = decodeEntry(result.value);
+    if (result.isErr() && result.error !== 'absent') return undefined;
+    const entry = result.isOk() ? result.value : undefined;
+    const stored = entry === undefined ? [] : decodeEntry(entry);
     isAdopting = true;
     stored.forEach(quarantine.adopt);
     isAdopting = false;
-    if (!isKnown) telemetry.log('quarantinesRead', { quarantines: stored.length });
-    return { entry: result.value };
+    if (!hasRead) telemetry.log('quarantinesRead', { quarantines: stored.length });
+    hasRead = true;
+    return { entry, stored };
   };
 
   /** Returns whether the entry holds what this node knows now. */
   const write = async (): Promise<boolean> => {
     const current = await read();
     if (current === undefined) return false;
-    isKnown = true;
-    const { entry } = current;
+    const { entry, stored } = current;
     const quarantines = selectStored(quarantine.list());
-    const before = entry === undefined ? [] : decodeEntry(entry);
-    if (toSignature(before) === toSignature(quarantines)) return true;
+    if (toSignature(stored) === toSignature(quarantines)) return true;
     const written = await store.write(ENTRY_NAME, { quarantines }, entry);
     telemetry.log('quarantinesStored', {
       quarantines: quarantines.length,
@@ -161,17 +168,18 @@
   };
 
   const restore = async (signal: AbortSignal): Promise<void> => {
-    while (!signal.aborted && !isKnown) {
-      if ((await read()) !== undefined) isKnown = true;
-      else await sleep(RETRY_MS, signal);
+    while (!signal.aborted && !hasRead) {
+      if ((await read()) === undefined) await sleep(RETRY_MS, signal);
     }
   };
 
+  const isKnown = (): boolean => hasRead || isToldByPeer;
+
   return {
-    isKnown: () => isKnown,
-    isWaiting: () => !isKnown && monotonicMs() - startedAt < RESTORE_LIMIT_MS,
+    isKnown,
+    isWaiting: () => !isKnown() && monotonicMs() - startedAt < RESTORE_LIMIT_MS,
     markKnown: () => {
-      isKnown = true;
+      isToldByPeer = true;
     },
     save,
     run: async (signal) => {
--- a/packages/serving/test/stored-quarantines.test.ts
+++ b/packages/serving/test/stored-quarantines.test.ts
@@ -243,6 +243,19 @@
   expect(await listStored(store)).toEqual([]);
 });
 
+// Guards against a quarantine that only the nodes of another side of a partition knew.
+test('a node that a peer has told of quarantines reads the entry as well', async () => {
+  const store = createFakeStore();
+  store.put(ENTRY, { quarantines: [{ ...quarantined('deadly'), startedAt: Date.now() }] });
+  store.setDown(true);
+  const process = startProcess(store);
+  await vi.advanceTimersByTimeAsync(300);
+  process.stored.markKnown();
+  store.setDown(false);
+  await vi.advanceTimersByTimeAsync(300);
+  expect(blocked(process, 'deadly')).toBe(true);
+});
+
 // Guards against a first writer that is gone, and against calls of every node of a large fleet.
 test('two other nodes write what the first did not, and further ones make no call', async () => {
   const names = ['a', 'b', 'c', 'd', 'e'];
