Move what a node knows of the other nodes out of serving-node.ts

Change: node-peers.ts holds the registry, the live peers, the contact to data centres and what follows from them. No behaviour changes.

--- a/packages/serving/src/serving-node.ts
+++ b/packages/serving/src/serving-node.ts
@@ -6,27 +6,24 @@
 import { createColdLimit } from './cold-limit.js';
 import type { ServingContext } from './context.js';
 import { createCrashProtection } from './crash-protection.js';
-import { computeReachableShare, createDataCentreContact } from './data-centre-contact.js';
 import { createDirectory } from './directory.js';
 import { createDrainTime } from './drain-time.js';
 import { createEnginePace } from './engine-pace.js';
 import { createEngineQueues } from './engine-queues.js';
 import { createExplainApp } from './explain-placement.js';
-import { createLivePeers, mergePeers } from './live-peers.js';
 import { createLeaseFactory } from './lease-objects.js';
 import { createCallerMemory } from './memory/index.js';
 import { createMovedUpstreams } from './moved-upstreams.js';
 import { createNodeAllocation } from './node-allocation.js';
 import { createNodeDrain } from './node-drain.js';
-import { createNodeRegistry } from './node-registry.js';
+import { createNodePeers } from './node-peers.js';
 import { createNodeReports } from './node-reports.js';
 import { createNodeServers } from './node-servers.js';
 import { createOrganisationQuota } from './organisation-quota.js';
 import { createPeerDatagrams } from './peer-datagrams.js';
 import { createPeerLists } from './peer-lists.js';
 import { createPeerMessages } from './peer-messages.js';
-import { isLargeFleet, localReportIntervalMs, remoteTimeoutMs } from './peer-reports.js';
-import type { KnownPeer } from './peer-reports.js';
+import { isLargeFleet, localReportIntervalMs } from './peer-reports.js';
 import { createPrefillRate } from './prefill-rate.js';
 import { createPrefillWork } from './prefill-work.js';
 import { createRetryBudget } from './retry-budget.js';
@@ -67,59 +64,26 @@
   const health = createUpstreamHealth(telemetry);
   const pace = createEnginePace();
   const directory = createDirectory(options.decoders, telemetry);
-  const livePeers = createLivePeers();
   const drainTime = createDrainTime();
+  const self = { node: options.name, dataCentre: options.dataCentre, ...options.peers };
+  const peers = createNodePeers({ self, seeds: options.seeds, store: stores.nodes, telemetry });
+  const { live: livePeers, registry, contact, recipients, fleetSize, reachableShare } = peers;
   const changing = createChangingRoles(livePeers.reports);
   let isListening = false;
-  const isReady = (): boolean =>
-    isListening &&
-    directory.isComplete() &&
-    // The protection is complete before the first check of readiness.
-    // eslint-disable-next-line @typescript-eslint/no-use-before-define
-    !crashProtection.isWaiting() &&
-    !drainTime.isDraining();
-
-  const self: KnownPeer = {
-    node: options.name,
-    dataCentre: options.dataCentre,
-    ...options.peers,
-  };
-  const registry = createNodeRegistry({
-    self,
-    store: stores.nodes,
-    telemetry,
-    isReachable: livePeers.has,
-    peerTimeoutMs: (fleet) => remoteTimeoutMs(fleet, fleet),
-  });
-
-  const fleetSize = (): number => registry.names().length;
-
-  const recipients = (): readonly KnownPeer[] =>
-    mergePeers(self, [...options.seeds, ...registry.peers(), ...livePeers.reports()]);
-
-  const localPeerReports = () =>
-    livePeers.reports().filter(({ dataCentre }) => dataCentre === options.dataCentre);
 
   const watcherSelection = createWatcherSelection({
     self: self.node,
     dataCentre: options.dataCentre,
-    peers: localPeerReports,
+    peers: peers.localReports,
   });
 
-  const contact = createDataCentreContact({
-    local: options.dataCentre,
-    peers: recipients,
-    telemetry,
-  });
-  const reachableShare = () =>
-    computeReachableShare({ peers: registry.peers(), livePeers, contact });
   const quota = createOrganisationQuota({
     reachableShare,
     tolerance: options.quotaTolerance,
     startedAt: monotonicMs(),
     epoch: startedAt,
     dataCentre: options.dataCentre,
-    reportIntervalMs: () => localReportIntervalMs(localPeerReports().length, fleetSize()),
+    reportIntervalMs: () => localReportIntervalMs(peers.localReports().length, fleetSize()),
     usesSummaries: () => isLargeFleet(fleetSize()),
   });
 
@@ -135,6 +99,11 @@
     random: Math.random,
     telemetry,
   });
+  const isReady = (): boolean =>
+    isListening &&
+    directory.isComplete() &&
+    !crashProtection.isWaiting() &&
+    !drainTime.isDraining();
   const { limits, unavailable } = createUpstreamStatements({
     self,
     transport,
@@ -149,16 +118,15 @@
     self: self.node,
     nodes: () => (registry.isRead() ? registry.names() : []),
   });
-  const notices = createChangeNotices({ datagrams, recipients: localPeerReports });
+  const notices = createChangeNotices({ datagrams, recipients: peers.localReports });
 
-  const reachesMajority = () => (livePeers.reports().length + 1) * 2 > registry.names().length;
   const rollouts = createRollouts({
     self,
     startedAt,
     bounds: options.rolloutBounds,
     peers: livePeers.names,
     recipients,
-    reachesMajority,
+    reachesMajority: peers.reachesMajority,
     usable: directory.usable,
     store: stores.rollouts,
     decode: options.decoders.rollout,
@@ -242,7 +210,7 @@
   const roleOrders = createRoleOrders({
     self: self.node,
     peers: livePeers.names,
-    reachesMajority,
+    reachesMajority: peers.reachesMajority,
     isRollingOut: rollouts.isRunning,
     changing,
     lease: createLeaseFactory({
@@ -283,7 +251,7 @@
     drainView: () => ({
       elapsedMs: drainTime.elapsedMs(),
       leftMs: drainTime.leftMs(),
-      neighbours: localPeerReports(),
+      neighbours: peers.localReports(),
       peers: livePeers.reports(),
     }),
     durations: createRunDurations(),
