Test a slow upstream without waiting in real time

Cause: one test waited 150 ms of real time, and operations that no test calls were named as if they were to be implemented. Change: the test advances the clock by 150 ms while the upstream works; the operations say that no test calls them. Result: the test fails if a request without an alternative is aborted early (tried by changing the condition), as before.

--- a/packages/gateway/test/support/fakes.ts
+++ b/packages/gateway/test/support/fakes.ts
@@ -178,7 +178,7 @@
       return okAsync(undefined);
     },
     listHolds: () => okAsync([]),
-    readLoad: () => errAsync(createError('internal', 'not implemented by this fake')),
+    readLoad: () => errAsync(createError('internal', 'no test calls this operation')),
     readCacheEvents: () => okAsync({ latestSeq: 0, events: [] }),
     order: () => okAsync(undefined),
   };
@@ -284,7 +284,7 @@
     quota: createFakeQuota().quota,
     scheduler: createFakeScheduler().scheduler,
     engines: createFakeEngines(() => undefined).engines,
-    upstreams: { send: () => errAsync(createError('internal', 'not implemented by this fake')) },
+    upstreams: { send: () => errAsync(createError('internal', 'no test calls this operation')) },
     objectApi: createFakeObjectApi().api,
     telemetry: createTelemetry({}, () => {}),
     countTokens,
--- a/packages/reconciler/test/support.ts
+++ b/packages/reconciler/test/support.ts
@@ -93,7 +93,7 @@
 
 /** Creates an engine port over fake engines, keyed by the host of their address. */
 export function createFakePort(engines: Record<string, FakeEngine>): EnginePort {
-  const failUnused = () => errAsync(createError('internal', 'not implemented by this fake'));
+  const failUnused = () => errAsync(createError('internal', 'no test calls this operation'));
   const find = (address: string): FakeEngine => {
     const engine = engines[address.replace('http://', '')];
     if (engine === undefined) throw new Error(`no engine at ${address}`);
--- a/packages/serving/test/serve-plain.test.ts
+++ b/packages/serving/test/serve-plain.test.ts
@@ -1,6 +1,5 @@
-import { sleep } from '@hibiscusbank/core';
 import { err, ok } from 'neverthrow';
-import { expect, test } from 'vitest';
+import { afterEach, expect, test, vi } from 'vitest';
 import type { SendFailure } from '../src/index.js';
 import {
   createFakeTransport,
@@ -17,6 +16,10 @@
 const broken: SendFailure = { effect: 'unknown', wasSent: true, reason: 'broken' };
 const unreachable: SendFailure = { effect: 'not_run', wasSent: false, reason: 'unreachable' };
 
+afterEach(() => {
+  vi.useRealTimers();
+});
+
 async function startPlainPool(
   transport: FakeTransport,
   stores: TestStores = createTestStores(),
@@ -82,7 +85,8 @@
 test('a slow idempotent request is not aborted when there is no other upstream', async () => {
   const transport = createFakeTransport();
   transport.reply = async (send) => {
-    await sleep(150, send.signal);
+    // Longer than the time after which a request is retried on another upstream.
+    await vi.advanceTimersByTimeAsync(150);
     return send.signal.aborted
       ? err({ effect: 'unknown', wasSent: true, reason: 'aborted' })
       : ok(createReply(['done']));
@@ -91,6 +95,7 @@
   stores.upstreams.put('u1', createUpstream('u1'));
   const started = await startTestNode(stores, transport);
   await waitUntilReady(started);
+  vi.useFakeTimers({ toFake: ['setTimeout', 'clearTimeout'] });
   expect(await (await call(started, '/lookup/1')).text()).toBe('done');
 });
 
