Name the cause of ended upstreams in plain terms

Change: names and comments. An answered part is updated in place, and only parts with enough ends are looked at when the cause is sought.

--- a/packages/gateway/src/http-server.ts
+++ b/packages/gateway/src/http-server.ts
@@ -42,7 +42,7 @@
  * Lets connections that are closed as idle write the rest of their last response first. The runtime takes
  * a connection for idle when its response has been ended, and `close` closes such connections as well.
  */
-function keepUnwritten(server: Server): void {
+function finishWritesBeforeClose(server: Server): void {
   const responses = new Set<ServerResponse>();
   const closeIdle = server.closeIdleConnections.bind(server);
   server.on('request', (_, res) => {
@@ -94,7 +94,7 @@
             void listener(req, res);
           },
         );
-        keepUnwritten(server);
+        finishWritesBeforeClose(server);
         server.on('connection', () => {
           lastConnectionAt = monotonicMs();
         });
--- a/packages/serving/src/answered-parts.ts
+++ b/packages/serving/src/answered-parts.ts
@@ -48,12 +48,11 @@
   const answers = new Map<string, Answer>();
 
   const update = (part: string, at: number, toldAt: number): void => {
-    const known = answers.get(part);
+    const answer = answers.get(part) ?? { at, toldAt };
+    answer.at = Math.max(answer.at, at);
+    answer.toldAt = Math.max(answer.toldAt, toldAt);
     answers.delete(part);
-    answers.set(part, {
-      at: Math.max(at, known?.at ?? -Infinity),
-      toldAt: Math.max(toldAt, known?.toldAt ?? -Infinity),
-    });
+    answers.set(part, answer);
     const [oldest] = answers.size > MAX_PARTS ? answers.keys() : [];
     if (oldest !== undefined) answers.delete(oldest);
   };
--- a/packages/serving/src/failures.ts
+++ b/packages/serving/src/failures.ts
@@ -21,7 +21,7 @@
   return createError(
     'quarantined',
     `${ends.length} upstreams ended while they ran prompts with part ${parts.join(' and ')}; ` +
-      'change that part, or ask the operator to lift its quarantine',
+      'change the prompt, or ask the operator to lift the quarantine',
     { effect: 'not_run', retryAfterMs: Math.max(0, lengthMs - ageMs) },
   );
 }
--- a/packages/serving/src/part-quarantine.ts
+++ b/packages/serving/src/part-quarantine.ts
@@ -11,7 +11,7 @@
 import type { Telemetry } from '@hibiscusbank/core';
 import type { AnsweredParts } from './answered-parts.js';
 import { createPartSuspicions } from './part-suspicions.js';
-import type { Culprits, UpstreamEnd } from './part-suspicions.js';
+import type { LikelyCause, UpstreamEnd } from './part-suspicions.js';
 
 /**
  * Time between an end and the decision on its cause, in which the reports of all nodes arrive. The
@@ -25,8 +25,8 @@
 /** Time after which one request at a time may try quarantined parts. Doubles after each failure. */
 const FIRST_QUARANTINE_MS = 60_000;
 const MAX_QUARANTINE_MS = 3_600_000;
-/** The same where other parts might be the cause: a trial costs one upstream, an error all sound requests. */
-const DOUBTFUL_QUARANTINE_MS = 3_000;
+/** The same while other parts may be the cause: a failed trial costs one upstream, a wrong decision all sound requests. */
+const AMBIGUOUS_QUARANTINE_MS = 3_000;
 /** Time after which another request may try parts although the previous one has not ended. */
 const TRIAL_LIMIT_MS = 30_000;
 /** Time without an end or a refused request after which a quarantine is forgotten. */
@@ -201,8 +201,8 @@
       narrow(quarantine, (part) => !answered.isRecent(part), 'answered lately');
   };
 
-  const quarantineCulprits = ({ parts, ends, isDoubtful }: Culprits): void => {
-    const lengthMs = isDoubtful ? DOUBTFUL_QUARANTINE_MS : FIRST_QUARANTINE_MS;
+  const quarantineCause = ({ parts, ends, isAmbiguous }: LikelyCause): void => {
+    const lengthMs = isAmbiguous ? AMBIGUOUS_QUARANTINE_MS : FIRST_QUARANTINE_MS;
     for (let first = 0; first < parts.length; first += MAX_JOINT_PARTS)
       start(parts.slice(first, first + MAX_JOINT_PARTS), ends, lengthMs);
     suspicions.explain(ends);
@@ -210,10 +210,10 @@
 
   const decide = (): void => {
     decisionTimer = undefined;
-    let culprits = suspicions.findCulprits();
-    while (culprits !== undefined) {
-      quarantineCulprits(culprits);
-      culprits = suspicions.findCulprits();
+    let cause = suspicions.findCause();
+    while (cause !== undefined) {
+      quarantineCause(cause);
+      cause = suspicions.findCause();
     }
   };
 
@@ -244,13 +244,13 @@
     }
     const now = monotonicMs();
     const fresh = held.filter(({ ageMs }) => now - ageMs >= changedAt);
-    const blamed = new Set(fresh.flatMap((run) => [...run.parts]));
-    if (blamed.size === 0 || blamed.size === parts.size) return false;
+    const suspects = new Set(fresh.flatMap((run) => [...run.parts]));
+    if (suspects.size === 0 || suspects.size === parts.size) return false;
     quarantine.ends.add(key);
     quarantine.usedAt = now;
     quarantine.since = now;
-    quarantine.lengthMs = DOUBTFUL_QUARANTINE_MS;
-    narrow(quarantine, (part) => blamed.has(part), 'upstream ended');
+    quarantine.lengthMs = AMBIGUOUS_QUARANTINE_MS;
+    narrow(quarantine, (part) => suspects.has(part), 'upstream ended');
     return false;
   };
 
--- a/packages/serving/src/part-suspicions.ts
+++ b/packages/serving/src/part-suspicions.ts
@@ -4,10 +4,10 @@
  */
 import { hash32, monotonicMs } from '@hibiscusbank/core';
 
-/** Ends of upstreams in turn after which a part is the cause. */
-const ENDS_TO_BLAME = 3;
+/** Ends of upstreams, one after the other, after which a part counts as their cause. */
+const ENDS_TO_QUARANTINE = 3;
 /** The same for a part that was answered lately, and so is more likely to stand beside the cause. */
-const ENDS_TO_BLAME_ANSWERED = 5;
+const ENDS_TO_QUARANTINE_ANSWERED = 5;
 /** Maximum number of parts that are suspected, since callers choose the parts. */
 const MAX_PARTS = 10_000;
 /** Maximum number of ends whose cause is remembered. */
@@ -29,11 +29,11 @@
 }
 
 /** Parts that explain the same ends equally well, since the same runs held all of them. */
-export interface Culprits {
+export interface LikelyCause {
   readonly parts: readonly string[];
   readonly ends: readonly string[];
   /** Whether they were answered lately all the same, or parts of other runs explain the ends as well. */
-  readonly isDoubtful: boolean;
+  readonly isAmbiguous: boolean;
 }
 
 export interface PartSuspicions {
@@ -43,7 +43,7 @@
    * may have enough ends now.
    */
   count(end: UpstreamEnd, isCounted: (part: string) => boolean): boolean;
-  findCulprits(): Culprits | undefined;
+  findCause(): LikelyCause | undefined;
   /** An end has one cause, so explained ends no longer count against any part. */
   explain(keys: Iterable<string>): void;
   drop(part: string): void;
@@ -121,14 +121,13 @@
         }
       }
       limit(key);
-      return most >= ENDS_TO_BLAME;
+      return most >= ENDS_TO_QUARANTINE;
     },
-    findCulprits: () => {
+    findCause: () => {
       const candidates = [...suspicions]
+        .filter(([, { ends }]) => ends.size >= ENDS_TO_QUARANTINE)
         .map(([part, suspicion]) => ({ part, ...suspicion, answered: wasAnswered(part) }))
-        .filter(
-          ({ ends, answered }) => ends.size >= (answered ? ENDS_TO_BLAME_ANSWERED : ENDS_TO_BLAME),
-        )
+        .filter(({ ends, answered }) => !answered || ends.size >= ENDS_TO_QUARANTINE_ANSWERED)
         .sort(
           (a, b) =>
             Number(a.answered) - Number(b.answered) ||
@@ -146,7 +145,7 @@
       return {
         parts: together.map(({ part }) => part),
         ends: [...first.ends.keys()],
-        isDoubtful: first.answered || together.length < equal.length,
+        isAmbiguous: first.answered || together.length < equal.length,
       };
     },
     explain: (keys) => {
--- a/packages/serving/src/serving-gateway.ts
+++ b/packages/serving/src/serving-gateway.ts
@@ -75,6 +75,13 @@
   else outgoing.once('finish', () => incoming.socket.end());
 }
 
+function notReady(reason: string): RouterError {
+  return createError('not_ready', `${reason}; retry later`, {
+    effect: 'not_run',
+    retryAfterMs: NOT_READY_RETRY_MS,
+  });
+}
+
 /** Calls the listener when a response has been handed to the operating system, or its connection is gone. */
 function whenWritten(outgoing: HttpExchange['outgoing'], listener: () => void): void {
   if (!outgoing.writableEnded || outgoing.writableFinished || outgoing.destroyed) listener();
@@ -253,8 +260,7 @@
       discardBody(incoming, reason);
     };
     if (!directory.isComplete()) {
-      const options = { effect: 'not_run', retryAfterMs: NOT_READY_RETRY_MS } as const;
-      refuse(createError('not_ready', 'the node has no configuration yet', options), undefined);
+      refuse(notReady('the node has no configuration yet'), undefined);
       return;
     }
     const decoded = readRequest(exchange);
@@ -264,9 +270,7 @@
     }
     const req = decoded.value;
     if (req.promptParts.length > 0 && context.crashProtection.isWaiting()) {
-      const options = { effect: 'not_run', retryAfterMs: NOT_READY_RETRY_MS } as const;
-      const message = 'the node has not read which prompt parts are quarantined; retry at once';
-      refuse(createError('not_ready', message, options), req.id);
+      refuse(notReady('the node has not read the quarantined prompt parts yet'), req.id);
       return;
     }
     const earlyCheck = authorise(req);
