Look at the first bytes of a connection before they are parsed

Cause: one read of a socket is up to 10,900 such chunks, and the parser cannot be stopped within it, not even by closing the socket. Ruled out: the handlers' work alone (a read costs 22 ms with no handler, 32 ms with one). Change: the listener of the callers looks at what a new connection sends first. While one body in very small chunks is read, further ones get 503 with their own time to return, before anything is parsed. The limits of such bodies are as before.

--- a/packages/gateway/src/http-server.ts
+++ b/packages/gateway/src/http-server.ts
@@ -4,6 +4,8 @@
 import type { AddressInfo } from 'node:net';
 import { monotonicMs } from '@hibiscusbank/core';
 import { getRequestListener } from '@hono/node-server';
+import { screenConnections } from './screen-connections.js';
+import type { ScreenedConnections, ScreenOptions } from './screen-connections.js';
 
 /** Interval in which connections without a complete head are looked for. */
 const HEAD_CHECK_INTERVAL_MS = 2_000;
@@ -30,6 +32,8 @@
   readonly maxConnections?: number;
   /** Called for each connection beyond `maxConnections`. */
   readonly onDrop?: () => void;
+  /** Decides by the first bytes of a connection whether they are parsed. */
+  readonly screen?: ScreenOptions;
   /** Called with errors of the listener after its start, as when the process has no file descriptors left. */
   readonly onError?: (error: Error) => void;
 }
@@ -72,6 +76,7 @@
   options: HttpServerOptions = {},
 ): HttpServer {
   let server: Server | undefined;
+  let screened: ScreenedConnections | undefined;
   let lastConnectionAt = -Infinity;
 
   const close = (): Promise<void> => {
@@ -95,6 +100,7 @@
           },
         );
         finishWritesBeforeClose(server);
+        if (options.screen !== undefined) screened = screenConnections(server, options.screen);
         server.on('connection', () => {
           lastConnectionAt = monotonicMs();
         });
@@ -135,6 +141,7 @@
       const closingServer = server;
       const closed = close();
       closingServer?.closeAllConnections();
+      screened?.close();
       await closed;
     },
   };
--- /dev/null
+++ b/packages/gateway/test/screen-connections.test.ts
@@ -0,0 +1,117 @@
+import { once } from 'node:events';
+import { connect } from 'node:net';
+import type { Socket } from 'node:net';
+import { afterEach, expect, test } from 'vitest';
+import { createHttpServer } from '../src/index.js';
+import type { HttpServer, Screening } from '../src/index.js';
+
+const cleanUps: (() => unknown)[] = [];
+
+afterEach(async () => {
+  for (const cleanUp of cleanUps.splice(0)) await cleanUp();
+});
+
+interface Site {
+  readonly server: HttpServer;
+  /** Bodies that the handler has read. */
+  readonly bodies: string[];
+  open(): Socket;
+}
+
+/** Starts a server that answers each request with the length of its body. */
+async function startSite(screen: (first: Buffer) => Screening, silentMs = 60_000): Promise<Site> {
+  const bodies: string[] = [];
+  const server = createHttpServer(
+    async (req) => {
+      bodies.push(await req.text());
+      return new Response(`read ${bodies.at(-1)?.length}`);
+    },
+    { host: '127.0.0.1', port: 0 },
+    { screen: { screen, silentMs: () => silentMs } },
+  );
+  await server.start();
+  cleanUps.push(server.kill);
+  return {
+    server,
+    bodies,
+    open: () => {
+      const socket = connect(server.port(), '127.0.0.1');
+      socket.on('error', () => {});
+      cleanUps.push(() => socket.destroy());
+      return socket;
+    },
+  };
+}
+
+async function readUntil(socket: Socket, end: string): Promise<string> {
+  let text = '';
+  while (!text.includes(end)) {
+    const [bytes] = (await once(socket, 'data')) as [Buffer];
+    text += bytes.toString();
+  }
+  return text;
+}
+
+const post = (length: number): string =>
+  `POST / HTTP/1.1\r\nHost: a.example\r\nContent-Length: ${length}\r\n\r\n`;
+
+test('requests of an accepted connection are read whole, the first and later ones', async () => {
+  const { open, bodies } = await startSite(() => 'accept');
+  const socket = open();
+  const first = 'a'.repeat(300_000);
+  socket.write(post(first.length) + first);
+  await readUntil(socket, 'read 300000');
+  socket.write(`${post(3)}xyz`);
+  await readUntil(socket, 'read 3');
+  expect(bodies).toEqual([first, 'xyz']);
+});
+
+test('what a connection sent while it was looked at reaches the handler in order', async () => {
+  const seen: number[] = [];
+  const { open, bodies } = await startSite((first) => {
+    seen.push(first.length);
+    return first.length < 200 ? 'wait' : 'accept';
+  });
+  const socket = open();
+  const head = post(300);
+  socket.write(head);
+  while (seen.length === 0) await new Promise(setImmediate);
+  socket.write(Array.from({ length: 300 }, (_, index) => String(index % 10)).join(''));
+  await readUntil(socket, 'read 300');
+  expect(bodies[0]).toBe('0123456789'.repeat(30));
+  expect(seen).toEqual([head.length, head.length + 300]);
+});
+
+// Guards against connections whose first bytes never decide.
+test('a connection that stays undecided is accepted', async () => {
+  const { open } = await startSite(() => 'wait');
+  const socket = open();
+  socket.write(`${post(2)}ab`);
+  expect(await readUntil(socket, 'read 2')).toContain('200 OK');
+});
+
+test('a refused connection gets its answer, is closed, and reaches no handler', async () => {
+  const answer = 'HTTP/1.1 503 Service Unavailable\r\ncontent-length: 0\r\n\r\n';
+  const { open, bodies } = await startSite(() => ({ answer }));
+  const socket = open();
+  const closed = once(socket, 'close');
+  socket.write(`${post(2)}ab`);
+  expect(await readUntil(socket, '\r\n\r\n')).toBe(answer);
+  await closed;
+  expect(bodies).toEqual([]);
+});
+
+test('a connection that sends nothing is closed in time', async () => {
+  const { open } = await startSite(() => 'accept', 20);
+  await once(open(), 'close');
+});
+
+// Guards against a server that cannot be stopped while a connection has sent nothing yet.
+test('connections that have sent nothing do not keep a server from being stopped', async () => {
+  const { server, open } = await startSite(() => 'accept');
+  const socket = open();
+  await once(socket, 'connect');
+  const closed = once(socket, 'close');
+  await server.kill();
+  await closed;
+});
--- a/packages/serving/src/memory/read-caller-body.ts
+++ b/packages/serving/src/memory/read-caller-body.ts
@@ -3,11 +3,14 @@
 import { createError, monotonicMs } from '@hibiscusbank/core';
 import type { RouterError, Telemetry } from '@hibiscusbank/core';
 import { declaredBytes } from '@hibiscusbank/gateway';
+import type { Screening } from '@hibiscusbank/gateway';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
+import { encodeError } from '../responses.js';
 import type { BodyBudget, BodyHold } from './body-budget.js';
 import { createBodySegments } from './body-segments.js';
 import { createReturnSlots } from './return-slots.js';
+import { classifyChunks } from './screen-chunks.js';
 import type { SegmentPool } from './segment-pool.js';
 
 /** Maximum wait of a body for memory; callers retry a refusal sooner than they lose patience. */
@@ -57,6 +60,8 @@
    * and `cancelled` if the caller disconnected. After an error the rest of the body is unread.
    */
   read(incoming: IncomingMessage, limits: BodyLimits): Promise<Result<CallerBody, BodyRefusal>>;
+  /** Decides by the first bytes of a connection whether its first request is parsed. */
+  screen(first: Buffer): Screening;
 }
 
 /** Why a body was not read to its end. */
@@ -103,6 +108,7 @@
   telemetry: Telemetry,
 ): CallerBodies {
   let smallChunkBodies = 0;
+  let smallChunksAcceptedAt = -Infinity;
   const smallChunkReturns = createReturnSlots({
     intervalMs: SMALL_CHUNK_RETURN_MS,
     minMs: RETRY_AFTER_MS,
@@ -223,7 +229,24 @@
       if (declared > 0 && !hold.reserve(declared)) waitForRoom(declared);
     });
 
+  /** Whether a body in very small chunks may be parsed. One that was accepted shows itself a moment later. */
+  const acceptsSmallChunks = (): boolean =>
+    smallChunkBodies < MAX_SMALL_CHUNK_BODIES &&
+    monotonicMs() - smallChunksAcceptedAt >= SMALL_CHUNK_RETURN_MS;
+
   return {
+    screen: (first) => {
+      const sizes = classifyChunks(first, { chunks: MANY_CHUNKS, meanBytes: SMALL_CHUNK_BYTES });
+      if (sizes === 'unknown') return 'wait';
+      if (sizes === 'other') return 'accept';
+      if (acceptsSmallChunks()) {
+        smallChunksAcceptedAt = monotonicMs();
+        return 'accept';
+      }
+      countRefusal('small_chunks', 0);
+      const { error } = tooSmallChunks(smallChunkReturns.take());
+      return { answer: encodeError(error, 'not_run') };
+    },
     read: async (incoming, limits) => {
       if ((declaredBytes(incoming) ?? 0) > limits.maxBytes) {
         countRefusal('size', 0);
--- a/packages/serving/src/node-servers.ts
+++ b/packages/serving/src/node-servers.ts
@@ -2,7 +2,7 @@
 import { monotonicMs } from '@hibiscusbank/core';
 import type { Telemetry } from '@hibiscusbank/core';
 import { createHttpServer } from '@hibiscusbank/gateway';
-import type { HttpServer } from '@hibiscusbank/gateway';
+import type { HttpServer, Screening } from '@hibiscusbank/gateway';
 import type { HttpBindings } from '@hono/node-server';
 import { RESPONSE_ALREADY_SENT } from '@hono/node-server/utils/response';
 import { Hono } from 'hono';
@@ -27,6 +27,8 @@
   readonly headerTimeoutMs: () => number;
   /** Connections of callers that are open at a time. */
   readonly maxConnections: number;
+  /** Decides by the first bytes of a caller's connection whether they are parsed. */
+  readonly screen: (first: Buffer) => Screening;
   readonly isReady: () => boolean;
   /** Handlers of what peers ask for. */
   readonly peerApps: readonly Hono[];
@@ -63,10 +65,12 @@
   for (const app of options.peerApps) peerApp.route('/', app);
   const onError = (error: Error): void => telemetry.log('listenerFailed', { error: error.message });
   const logDrop = createDropLog(telemetry);
+  // A connection may be idle before its first request, too.
+  const headTimeoutMs = (): number => idleTimeoutMs() + options.headerTimeoutMs() + IDLE_MARGIN_MS;
   const callers = createHttpServer(callerApp.fetch, addresses.callers, {
     idleTimeoutMs: () => idleTimeoutMs() + IDLE_MARGIN_MS,
-    // A connection may be idle before its first request, too.
-    headTimeoutMs: () => idleTimeoutMs() + options.headerTimeoutMs() + IDLE_MARGIN_MS,
+    headTimeoutMs,
+    screen: { screen: options.screen, silentMs: headTimeoutMs },
     maxConnections: options.maxConnections,
     onDrop: () => {
       telemetry.metrics.droppedConnections.inc();
--- a/packages/serving/src/serving-node.ts
+++ b/packages/serving/src/serving-node.ts
@@ -284,6 +284,7 @@
     idleTimeoutMs: () => directory.tables()?.limits.idleTimeoutMs ?? DEFAULT_IDLE_MS,
     headerTimeoutMs: () => directory.tables()?.limits.headerTimeoutMs ?? DEFAULT_HEADER_MS,
     maxConnections: memory.maxConnections,
+    screen: memory.bodies.screen,
     isReady,
     peerApps: [lists.app, crashProtection.app, rollouts.app, createExplainApp(self.node, context)],
     telemetry,
