Keep the pause of a body whose connection was looked at

A node beyond its memory is killed, with all that it serves. Cause: since what a new connection sends first is put back into the stream before the parser takes over. The resume that this needs, and a read that a stream schedules after each data event, both start reading again after the parser has paused the connection, so bodies that nobody reads are read whole. Change: the parser gets the first bytes as an event, once the scheduled read is over.

--- a/packages/gateway/src/screen-connections.ts
+++ b/packages/gateway/src/screen-connections.ts
@@ -30,6 +30,7 @@
 
   server.on('connection', (socket: Socket) => {
     let received: Buffer[] = [];
+    let isAccepted = false;
     let timer: NodeJS.Timeout | undefined;
     pending.add(socket);
 
@@ -45,18 +46,22 @@
       socket.destroy();
     };
     const passOn = (): void => {
+      if (!pending.has(socket)) return;
       stop();
-      socket.pause();
       for (const listener of accept) listener.call(server, socket);
-      socket.unshift(Buffer.concat(received));
+      // Not put back with unshift(): its resume would undo a pause by the parser.
+      socket.emit('data', received.length === 1 ? received[0] : Buffer.concat(received));
       received = [];
-      socket.resume();
     };
     const onData = (bytes: Buffer): void => {
       received.push(bytes);
+      if (isAccepted) return;
       const screening = options.screen(received.length === 1 ? bytes : Buffer.concat(received));
-      if (screening === 'accept') passOn();
-      else if (screening !== 'wait') {
+      if (screening === 'accept') {
+        isAccepted = true;
+        // The stream schedules a read after this event, which would undo a pause by the parser.
+        process.nextTick(() => process.nextTick(passOn));
+      } else if (screening !== 'wait') {
         socket.write(screening.answer);
         close();
       } else if (received.length === 1) {
--- a/packages/gateway/test/screen-connections.test.ts
+++ b/packages/gateway/test/screen-connections.test.ts
@@ -1,16 +1,25 @@
 import { once } from 'node:events';
+import type { IncomingMessage } from 'node:http';
 import { connect } from 'node:net';
 import type { Socket } from 'node:net';
 import { afterEach, expect, test } from 'vitest';
 import { createHttpServer } from '../src/index.js';
 import type { HttpServer, Screening } from '../src/index.js';
 
+const UNREAD_BYTES = 16_000_000;
 const cleanUps: (() => unknown)[] = [];
 
 afterEach(async () => {
   for (const cleanUp of cleanUps.splice(0)) await cleanUp();
 });
 
+function openConnection(server: HttpServer): Socket {
+  const socket = connect(server.port(), '127.0.0.1');
+  socket.on('error', () => {});
+  cleanUps.push(() => socket.destroy());
+  return socket;
+}
+
 interface Site {
   readonly server: HttpServer;
   /** Bodies that the handler has read. */
@@ -34,12 +43,7 @@
   return {
     server,
     bodies,
-    open: () => {
-      const socket = connect(server.port(), '127.0.0.1');
-      socket.on('error', () => {});
-      cleanUps.push(() => socket.destroy());
-      return socket;
-    },
+    open: () => openConnection(server),
   };
 }
 
@@ -82,6 +86,46 @@
   expect(seen).toEqual([head.length, head.length + 300]);
 });
 
+const acceptances: { name: string; screen: (first: Buffer) => Screening; firstBytes: number }[] = [
+  { name: 'its first bytes', screen: () => 'accept', firstBytes: UNREAD_BYTES },
+  {
+    name: 'further bytes',
+    screen: (first) => (first.length < 100_000 ? 'wait' : 'accept'),
+    firstBytes: UNREAD_BYTES,
+  },
+  { name: 'a wait', screen: () => 'wait', firstBytes: 1_000 },
+];
+
+// Guards against bodies that are read into memory although no handler reads them.
+test.each(acceptances)(
+  'a body that nobody reads stays with its sender, accepted after $name',
+  async ({ screen, firstBytes }) => {
+    const unread: IncomingMessage[] = [];
+    const server = createHttpServer(
+      (req, { incoming }) => {
+        if (req.method === 'GET') return new Response('ordinary');
+        unread.push(incoming);
+        return new Promise<Response>(() => {});
+      },
+      { host: '127.0.0.1', port: 0 },
+      { screen: { screen, silentMs: () => 60_000 } },
+    );
+    await server.start();
+    cleanUps.push(server.kill);
+    const sender = openConnection(server);
+    sender.write(post(UNREAD_BYTES) + 'x'.repeat(firstBytes));
+    while (unread.length === 0) await new Promise(setImmediate);
+    sender.write('x'.repeat(UNREAD_BYTES - firstBytes));
+    // Each exchange lets the event loop read what it would read of the body.
+    const ordinary = openConnection(server);
+    for (let round = 0; round < 100; round += 1) {
+      ordinary.write('GET / HTTP/1.1\r\nHost: a.example\r\n\r\n');
+      await readUntil(ordinary, 'ordinary');
+    }
+    expect(unread[0]?.readableLength).toBeLessThan(1_000_000);
+  },
+);
+
 // Guards against connections whose first bytes never decide.
 test('a connection that stays undecided is accepted', async () => {
   const { open } = await startSite(() => 'wait');
