--- a/packages/gateway/test/screen-connections.test.ts
+++ b/packages/gateway/test/screen-connections.test.ts
@@ -1,5 +1,4 @@
 import { once } from 'node:events';
-import type { IncomingMessage } from 'node:http';
 import { connect } from 'node:net';
 import type { Socket } from 'node:net';
 import { afterEach, expect, test } from 'vitest';
@@ -100,7 +99,7 @@
 test.each(acceptances)(
   'a body that nobody reads stays with its sender, accepted after $name',
   async ({ screen, firstBytes }) => {
-    const unread: IncomingMessage[] = [];
+    const unread: { readonly readableLength: number }[] = [];
     const server = createHttpServer(
       (req, { incoming }) => {
         if (req.method === 'GET') return new Response('ordinary');
