Count what a restarted data centre spends from its first reports on

Callers saw: beside restarts of a data centre of a large fleet, an organisation over its rate got up to twice the rate for seconds. Cause: a node takes the first total that it hears from a process of another data centre as the point from which it counts. At 88 nodes a node is heard every 10 s, so for 10 s after a restart of the data centre all reports were first ones, and nothing counted. Change: the total of a process that started later than this one counts from what was known of its data centre when it started. Evidence: the new test fails on (a request of a tenth of the burst is granted after two bursts were reported) and passes. Ruled out: reports that arrive sooner (each one wakes a process), and counting first totals in full (a restart of one node would count twice what the others spent meanwhile).

--- a/packages/serving/src/organisation-quota.ts
+++ b/packages/serving/src/organisation-quota.ts
@@ -128,6 +128,8 @@
   const nodeTotals = createNodeTotals();
   const dataCentreTotals = new Map<string, DataCentreTotals>();
 
+  const unixNow = (): number => options.epoch + monotonicMs() - startedAt;
+
   const addBucket = (organisation: ServingOrganisation): Bucket => {
     const bucket: Bucket = {
       organisation,
@@ -247,7 +249,9 @@
         charge(node, spentByNode);
         return;
       }
-      const totals = dataCentreTotals.get(dataCentre) ?? createDataCentreTotals();
+      const totals =
+        dataCentreTotals.get(dataCentre) ??
+        createDataCentreTotals({ startedAt: options.epoch, now: unixNow });
       dataCentreTotals.set(dataCentre, totals);
       const spentThere = totals.takeNew(node, epoch, report.spentNearby);
       if (options.usesSummaries()) charge(dataCentre, spentThere);
--- a/packages/serving/test/organisation-quota.test.ts
+++ b/packages/serving/test/organisation-quota.test.ts
@@ -310,6 +310,41 @@
   expect(quota.debit(organisation, BURST, false).isGranted).toBe(true);
 });
 
+// In a large fleet each node reports to a remote one every few seconds. After a restart of a data centre each
+// report was the first one of a process, and nothing that was spent there counted until the second ones.
+test('what a restarted data centre spends counts from the first reports on', async () => {
+  const epoch = 100_000;
+  const quota = createOrganisationQuota({
+    reachableShare: () => 1,
+    tolerance: TOLERANCE,
+    startedAt: performance.now() - 60_000,
+    epoch,
+    dataCentre: 'a',
+    reportIntervalMs: () => REPORT_MS,
+    usesSummaries: () => true,
+  });
+  quota.setOrganisations([organisation]);
+  const report = (node: string, startedAt: number, nearby: number): void =>
+    quota.applyReport({
+      node,
+      dataCentre: 'b',
+      startedAt,
+      spent: {},
+      spentNearby: { workshop: nearby },
+    });
+  report('node-2', epoch - 60_000, 500_000);
+  await vi.advanceTimersByTimeAsync(500);
+  const restartedAt = epoch + 60_000 + 500;
+  await vi.advanceTimersByTimeAsync(500);
+  report('node-2', restartedAt, BURST);
+  report('node-3', restartedAt, 2 * BURST);
+  report('node-4', restartedAt, 2 * BURST);
+  expect(quota.debit(organisation, BURST * 0.1, false).isGranted).toBe(false);
+  // No more than was spent.
+  await vi.advanceTimersByTimeAsync(2_000);
+  expect(quota.debit(organisation, BURST * 0.9, false).isGranted).toBe(true);
+});
+
 test('a pool has no free capacity for the excess of one organisation while requests wait', () => {
   expect(hasFreeCapacity({ waiting: 0, used: 50_000, capacity: 100_000 }, 8_000)).toBe(true);
   expect(hasFreeCapacity({ waiting: 1, used: 50_000, capacity: 100_000 }, 8_000)).toBe(false);
