Debit hot organisations at one node while the others cannot know what is spent

Cause: buckets started full 0.6 s after an outage of all nodes, so a window held two bursts, and until reports arrive (1.4 s at 88 nodes, 10 s from other data centres) each node granted what all may spend. Change: buckets start empty. In the first window of a process, and in large fleets while an organisation spends faster than its rate, one node that has run for a window debits it for all that ask, and tells the nodes that would decide next at once. While nobody answers a node uses its own part of the rate. Asking and answering is shared with the permits of limited upstreams. A test that held that buckets are full after an outage of all nodes contradicted the rule, which excuses no restart; it is replaced by one that they hold no more than what was refilled since, and by windows around restarts at each second. The price: an organisation within its rate is refused its burst at most after a restart of all. Ruled out: buckets that start empty alone (enough at 6 nodes only), own parts alone (a request of 8,000 tokens never fits), totals in the store (docs/design/state-after-restart.md).

--- a/packages/core/src/events.ts
+++ b/packages/core/src/events.ts
@@ -170,6 +170,11 @@
   quarantineNarrowed: defineEvent(1844, 'info', 'fewer prompt parts in a quarantine'),
   quarantinesRead: defineEvent(1845, 'info', 'quarantines read from the store at the start'),
   quarantinesStored: defineEvent(1846, 'info', 'quarantines written to the store'),
+  debitUnanswered: defineEvent(
+    1847,
+    'warn',
+    'no node answered a debit; decided by the own part of the rate',
+  ),
   settingsReloaded: defineEvent(1816, 'info', 'settings reloaded'),
 
   invariantViolated: defineEvent(1901, 'error', 'invariant violated'),
--- a/packages/core/src/metrics.ts
+++ b/packages/core/src/metrics.ts
@@ -127,6 +127,12 @@
       labelNames: ['pool'],
       registers,
     }),
+    quotaAsks: new Counter({
+      name: 'hibiscusbank_quota_asks_total',
+      help: 'Debits that another node decided in the first quota window of this process, by outcome',
+      labelNames: ['outcome'],
+      registers,
+    }),
     permits: new Counter({
       name: 'hibiscusbank_permits_total',
       help: 'Requests for a permit of a limited upstream, by pool and outcome',
--- a/packages/serving/src/context.ts
+++ b/packages/serving/src/context.ts
@@ -24,6 +24,7 @@
 import type { UpstreamTransport } from './ports.js';
 import type { PrefillRate } from './prefill-rate.js';
 import type { PrefillWork } from './prefill-work.js';
+import type { QuotaGrants } from './quota-grants.js';
 import type { RequestLimits } from './request-limits.js';
 import type { RetryBudget } from './retry-budget.js';
 import type { Rollouts } from './rollouts/index.js';
@@ -46,7 +47,7 @@
   readonly dataCentre: DataCentreId;
   readonly directory: Directory;
   readonly transport: UpstreamTransport;
-  readonly quota: OrganisationQuota;
+  readonly quota: Pick<QuotaGrants, 'debit'> & Pick<OrganisationQuota, 'refund'>;
   readonly retryBudget: RetryBudget;
   readonly coldLimit: ColdLimit;
   /** Permits for requests to upstreams that limit the rate of all nodes. */
--- a/packages/serving/src/granter-selection.ts
+++ b/packages/serving/src/granter-selection.ts
@@ -19,6 +19,8 @@
   /** Whether a node has stopped reporting. */
   readonly isSilent: (node: string) => boolean;
   readonly maxPauseMs: number;
+  /** Returns those of some nodes, this one included, that are to be selected from. By default all of them. */
+  readonly prefer?: (nodes: readonly KnownPeer[]) => readonly KnownPeer[];
 }
 
 export interface GranterSelection {
@@ -32,7 +34,7 @@
 
 /** Creates the selection of one node. */
 export function createGranterSelection(options: GranterSelectionOptions): GranterSelection {
-  const { self, maxPauseMs } = options;
+  const { self, maxPauseMs, prefer = (nodes) => nodes } = options;
   const pauses = new Map<string, { readonly until: number; readonly ms: number }>();
 
   const isPaused = (node: string): boolean => {
@@ -42,7 +44,7 @@
 
   return {
     find: (key, dataCentre) => {
-      const all = [self, ...options.peers().filter(({ node }) => !isPaused(node))];
+      const all = prefer([self, ...options.peers().filter(({ node }) => !isPaused(node))]);
       const local =
         dataCentre === undefined ? [] : all.filter((peer) => peer.dataCentre === dataCentre);
       const candidates = new Map(
--- a/packages/serving/src/live-peers.ts
+++ b/packages/serving/src/live-peers.ts
@@ -8,6 +8,8 @@
   /** Removes peers whose last contact is longer ago than `timeoutMs` and returns their names. */
   dropTimedOut(timeoutMs: (peer: PeerReport) => number): readonly string[];
   has(node: string): boolean;
+  /** Returns the start of a live peer's process in Unix milliseconds. */
+  startOf(node: string): number | undefined;
   /** Whether a node timed out and has not reported since. */
   hasTimedOut(node: string): boolean;
   names(): readonly string[];
@@ -51,6 +53,7 @@
     },
     names: () => [...lastReports.keys()],
     has: (node) => lastReports.has(node),
+    startOf: (node) => lastReports.get(node)?.report.startedAt,
     reports: () => [...lastReports.values()].map(({ report }) => report),
   };
 }
--- a/packages/serving/src/organisation-quota.ts
+++ b/packages/serving/src/organisation-quota.ts
@@ -11,6 +11,7 @@
  */
 import { monotonicMs, organisationId } from '@hibiscusbank/core';
 import type { OrganisationId } from '@hibiscusbank/core';
+import { createNoticedSpending } from './noticed-spending.js';
 import { createDataCentreTotals, createNodeTotals } from './spending-totals.js';
 import type { DataCentreTotals, Spending } from './spending-totals.js';
 import type { ServingOrganisation } from './types.js';
@@ -31,10 +32,6 @@
  * ones, spending that is not reported yet takes the whole tolerance when an organisation bursts.
  */
 const MAX_OVERDRAFT_INTERVAL_MS = 2_500;
-/** Time after the start of a process in which the first reports of running peers arrive. */
-const FIRST_REPORTS_MS = 600;
-/** Peers whose processes started by more than this before this one were running when it started. */
-const RUNNING_BEFORE_MS = 3_000;
 
 /** Spending in any window that the operator tolerates beyond rate and burst. */
 export interface QuotaTolerance {
@@ -57,8 +54,17 @@
    * spend from it before the first request reaches this node.
    */
   setOrganisations(organisations: readonly ServingOrganisation[]): void;
+  /** Returns an organisation of the configuration. */
+  findOrganisation(id: OrganisationId): ServingOrganisation | undefined;
   /** Debits a request. `hasFreeCapacity`: whether it takes no capacity that others wait for. */
   debit(organisation: ServingOrganisation, tokens: number, hasFreeCapacity: boolean): QuotaDecision;
+  /**
+   * Debits a request from one of `parts` equal parts of the bucket, as if other nodes debited the same from
+   * each of the others. For a node that can't learn in time what those spend.
+   */
+  debitPart(organisation: ServingOrganisation, tokens: number, parts: number): QuotaDecision;
+  /** Returns the fraction of the burst that the bucket holds; below 0 when it is overdrawn. */
+  level(organisation: ServingOrganisation): number;
   /** Refunds the charge of a request that did not run. */
   refund(organisation: OrganisationId, tokens: number): void;
   /** Records that contact to a node was lost; its refill no longer reaches this node's buckets. */
@@ -68,6 +74,16 @@
   /** Returns the tokens spent in the local data centre, as far as this node knows. */
   spentNearby(): Spending;
   applyReport(report: SpendingReport): void;
+  /** Charges what a peer has spent just now, ahead of the report that covers it. */
+  applyNotice(notice: SpendingNotice): void;
+}
+
+/** What a node tells of its spending at once. */
+export interface SpendingNotice {
+  readonly node: string;
+  readonly dataCentre?: string | undefined;
+  readonly organisation: OrganisationId;
+  readonly tokens: number;
 }
 
 /** What a node reports of the spending of organisations. */
@@ -87,8 +103,8 @@
   readonly reachableShare: () => number;
   readonly tolerance: QuotaTolerance;
   /**
-   * Monotonic time in milliseconds at which the process started. Buckets fill from then on, since a
-   * new process does not know what was spent before.
+   * Monotonic time in milliseconds at which the process started. Buckets are empty then, since a new
+   * process does not know what was spent before, by its peers or by processes that have ended.
    */
   readonly startedAt: number;
   /** Start of this process in Unix milliseconds. */
@@ -103,14 +119,14 @@
   readonly usesSummaries: () => boolean;
 }
 
+const GRANTED: QuotaDecision = { isGranted: true, retryAfterMs: 0 };
+
 interface Bucket {
   organisation: ServingOrganisation;
   tokens: number;
   /** Refill of nodes out of contact. It pays for their spending when contact returns. */
   withheld: number;
   refilledAt: number;
-  /** Whether it was decided if the bucket starts full. */
-  isSettled: boolean;
 }
 
 function addTo(totals: Map<string, number>, organisation: string, tokens: number): void {
@@ -123,20 +139,20 @@
   const buckets = new Map<OrganisationId, Bucket>();
   const localSpent = new Map<string, number>();
   const absent = new Set<string>();
-  let hasRunningPeer = false;
   const spentNearby = new Map<string, number>();
   const nodeTotals = createNodeTotals();
   const dataCentreTotals = new Map<string, DataCentreTotals>();
 
   const unixNow = (): number => options.epoch + monotonicMs() - startedAt;
 
+  const noticed = createNoticedSpending(unixNow);
+
   const addBucket = (organisation: ServingOrganisation): Bucket => {
     const bucket: Bucket = {
       organisation,
       tokens: 0,
       withheld: 0,
       refilledAt: startedAt,
-      isSettled: false,
     };
     buckets.set(organisation.id, bucket);
     return bucket;
@@ -148,11 +164,6 @@
     const { ratePerSecond, burst } = bucket.organisation;
     const gained = ((now - bucket.refilledAt) / MS_PER_S) * ratePerSecond;
     bucket.tokens = Math.min(burst * share, bucket.tokens + gained * share);
-    if (!bucket.isSettled && now - startedAt >= FIRST_REPORTS_MS) {
-      bucket.isSettled = true;
-      // After an outage of all nodes nobody can have spent the burst meanwhile.
-      if (!hasRunningPeer) bucket.tokens = burst * share;
-    }
     bucket.withheld =
       share < 1 ? bucket.withheld + gained * (1 - share) : Math.max(0, bucket.withheld - gained);
     bucket.refilledAt = now;
@@ -179,11 +190,16 @@
     addTo(spentNearby, organisation, tokens);
   };
 
+  const countsAlone = (dataCentre: string | undefined): boolean =>
+    dataCentre === options.dataCentre || dataCentre === undefined || !options.usesSummaries();
+
   /** Charges what a node or data centre spent. */
-  const charge = (source: string, spent: Spending): void => {
+  const charge = (source: string, epoch: number, spent: Spending): void => {
+    noticed.dropBefore(source, epoch);
     const wasAbsent = absent.delete(source);
-    for (const [id, tokens] of Object.entries(spent)) {
+    for (const [id, newTokens] of Object.entries(spent)) {
       const organisation = organisationId(id);
+      const tokens = newTokens - noticed.settle(source, organisation, newTokens);
       subtract(organisation, wasAbsent ? payFromWithheld(organisation, tokens) : tokens);
     }
   };
@@ -197,24 +213,45 @@
     return share * (tolerance.ratio * window + tolerance.allowance);
   };
 
+  /** Returns the time in which `tokens` are refilled. */
+  const refillMs = ({ ratePerSecond }: ServingOrganisation, tokens: number): number =>
+    (tokens * MS_PER_S) / (ratePerSecond * reachableShare());
+
+  const findBucket = (organisation: ServingOrganisation): Bucket => {
+    const bucket = buckets.get(organisation.id) ?? addBucket(organisation);
+    refill(bucket);
+    return bucket;
+  };
+
   return {
     debit: (organisation, tokens, hasFreeCapacity) => {
-      if (organisation.ratePerSecond === 0) return { isGranted: true, retryAfterMs: 0 };
-      const bucket = buckets.get(organisation.id) ?? addBucket(organisation);
-      refill(bucket);
+      if (organisation.ratePerSecond === 0) return GRANTED;
+      const bucket = findBucket(organisation);
       const share = reachableShare();
       // A request larger than the burst needs only a full bucket, otherwise it could never run.
       const needed = Math.min(tokens, organisation.burst * share);
       const available =
         bucket.tokens + (hasFreeCapacity ? overdraft(organisation, tokens) * share : 0);
       if (available < needed) {
-        const tokensPerMs = (organisation.ratePerSecond * share) / MS_PER_S;
-        return { isGranted: false, retryAfterMs: (needed - available) / tokensPerMs };
+        return { isGranted: false, retryAfterMs: refillMs(organisation, needed - available) };
       }
       bucket.tokens -= tokens;
       recordLocal(organisation.id, tokens);
-      return { isGranted: true, retryAfterMs: 0 };
+      return GRANTED;
     },
+    debitPart: (organisation, tokens, parts) => {
+      if (organisation.ratePerSecond === 0) return GRANTED;
+      const bucket = findBucket(organisation);
+      const needed = tokens * parts;
+      if (bucket.tokens < needed) {
+        return { isGranted: false, retryAfterMs: refillMs(organisation, needed - bucket.tokens) };
+      }
+      bucket.tokens -= needed;
+      recordLocal(organisation.id, tokens);
+      return GRANTED;
+    },
+    level: (organisation) => findBucket(organisation).tokens / Math.max(1, organisation.burst),
+    findOrganisation: (id) => buckets.get(id)?.organisation,
     setOrganisations: (organisations) => {
       const known = new Map(organisations.map((organisation) => [organisation.id, organisation]));
       for (const id of buckets.keys()) if (!known.has(id)) buckets.delete(id);
@@ -232,12 +269,16 @@
     markAbsent: (nodeOrDataCentre) => {
       absent.add(nodeOrDataCentre);
     },
+    applyNotice: ({ node, dataCentre, organisation, tokens }) => {
+      const source = countsAlone(dataCentre) ? node : (dataCentre ?? node);
+      subtract(organisation, tokens);
+      noticed.add(source, organisation, tokens);
+    },
     spent: () => Object.fromEntries(localSpent),
     spentNearby: () => Object.fromEntries(spentNearby),
     applyReport: (report) => {
       const { node, dataCentre, startedAt: epoch } = report;
       const isNearby = dataCentre === options.dataCentre;
-      if (epoch < options.epoch - RUNNING_BEFORE_MS) hasRunningPeer = true;
       // What a peer spent before this process started left buckets that this process never had.
       const spentByNode = nodeTotals.takeNew(node, epoch, report.spent, epoch < options.epoch);
       if (isNearby) {
@@ -246,7 +287,7 @@
         }
       }
       if (isNearby || dataCentre === undefined) {
-        charge(node, spentByNode);
+        charge(node, epoch, spentByNode);
         return;
       }
       const totals =
@@ -254,8 +295,8 @@
         createDataCentreTotals({ startedAt: options.epoch, now: unixNow });
       dataCentreTotals.set(dataCentre, totals);
       const spentThere = totals.takeNew(node, epoch, report.spentNearby);
-      if (options.usesSummaries()) charge(dataCentre, spentThere);
-      else charge(node, spentByNode);
+      if (countsAlone(dataCentre)) charge(node, epoch, spentByNode);
+      else charge(dataCentre, epoch, spentThere);
     },
   };
 }
--- a/packages/serving/src/request-permits.ts
+++ b/packages/serving/src/request-permits.ts
@@ -8,6 +8,7 @@
 import type { Telemetry } from '@hibiscusbank/core';
 import { createGranterSelection, UNANSWERED_PAUSE_MS } from './granter-selection.js';
 import { isNonNegative, isPort } from './message-values.js';
+import { createPeerAsks } from './peer-asks.js';
 import type { PeerDatagrams } from './peer-datagrams.js';
 import type { KnownPeer } from './peer-reports.js';
 import { createPermitGrants, GRANTER_POOL, OWN_SHARE_POOL } from './permit-grants.js';
@@ -16,9 +17,6 @@
 import type { LimitStatement, StatedLimits } from './stated-limits.js';
 import type { ServingUpstream } from './types.js';
 
-/** Time-out of an ask; nodes answer within a round trip. */
-const ASK_TIMEOUT_MS = 120;
-
 /** Time over which the rate of permits that this node gets is measured. */
 const RATE_WINDOW_MS = 4_000;
 const MS_PER_S = 1_000;
@@ -112,10 +110,9 @@
   const grants = createPermitGrants(GRANTER_POOL);
   const ownShares = createPermitGrants(OWN_SHARE_POOL);
   const grantedAt = new Map<string, number[]>();
-  const waiting = new Map<number, (answer: AnswerMessage['permitAnswer']) => void>();
+  const asks = createPeerAsks<AnswerMessage['permitAnswer']>({ granters, datagrams });
   /** Time before which the granter has no permit for an upstream. */
   const nextPermitAt = new Map<string, number>();
-  let lastId = 0;
 
   /** Returns the times at which this node was granted permits for an upstream recently. */
   const recentGrants = (upstream: string): number[] => {
@@ -138,29 +135,13 @@
     statement: LimitStatement,
     ask: PermitAsk,
   ): Promise<AnswerMessage['permitAnswer'] | undefined> =>
-    new Promise((resolve) => {
-      lastId += 1;
-      const id = lastId;
-      const finish = (answer: AnswerMessage['permitAnswer'] | undefined): void => {
-        waiting.delete(id);
-        resolve(answer);
-      };
-      const timer = setTimeout(() => {
-        granters.pause(granter.node);
-        finish(undefined);
-      }, ASK_TIMEOUT_MS);
-      waiting.set(id, (answer) => {
-        clearTimeout(timer);
-        granters.confirm(granter.node);
-        finish(answer);
-      });
+    asks.ask(granter, (id): AskMessage => {
       const { organisation, priority, onTargetMs, maxWaitMs } = ask;
       const { node, host, port } = self;
       const { dataCentre } = upstream;
       const from = { node, host, port };
       const permitAsk = { organisation, priority, onTargetMs, maxWaitMs, id, from, statement };
-      const message: AskMessage = { permitAsk: { ...permitAsk, dataCentre } };
-      datagrams.send(message, [granter]);
+      return { permitAsk: { ...permitAsk, dataCentre } };
     });
 
   const decide = async (
@@ -223,7 +204,7 @@
     },
     receive: (message) => {
       if (isAsk(message)) answerAsk(message);
-      else if (isAnswer(message)) waiting.get(message.permitAnswer.id)?.(message.permitAnswer);
+      else if (isAnswer(message)) asks.settle(message.permitAnswer.id, message.permitAnswer);
       else return false;
       return true;
     },
--- a/packages/serving/src/serving-gateway.ts
+++ b/packages/serving/src/serving-gateway.ts
@@ -136,11 +136,15 @@
     );
   };
 
-  const debit = (authorised: AuthorisedRoute, req: ServingRequest): Result<number, RouterError> => {
+  const debit = async (
+    authorised: AuthorisedRoute,
+    req: ServingRequest,
+  ): Promise<Result<number, RouterError>> => {
     const { organisation } = authorised;
     if (organisation === undefined) return ok(0);
     const tokens = computeCharge(organisation, req);
-    const decision = quota.debit(organisation, tokens, isPoolFree(authorised.pool, tokens));
+    const isFree = isPoolFree(authorised.pool, tokens);
+    const decision = await quota.debit(organisation, tokens, isFree);
     if (decision.isGranted) return ok(tokens);
     return err(
       createError('rate_exceeded', 'the rate is used up; retry later', {
@@ -222,7 +226,7 @@
       refuse(describeDraining(context.drainView()));
       return;
     }
-    const charged = debit(authorised, req);
+    const charged = await debit(authorised, req);
     if (charged.isErr()) {
       telemetry.log('debitRefused', {
         request: req.id,
@@ -232,6 +236,18 @@
       refuse(charged.error);
       return;
     }
+    const { organisation } = authorised;
+    const refund = (): void => {
+      if (organisation !== undefined && charged.value > 0) {
+        quota.refund(organisation.id, charged.value);
+      }
+    };
+    // The caller may have left while another node decided about the debit.
+    if (outgoing.destroyed) {
+      refund();
+      telemetry.log('requestRefused', { request: req.id, kind: 'cancelled', effect: 'not_run' });
+      return;
+    }
     running.add(controller);
     const abort = (): void => controller.abort();
     const timer = setTimeout(abort, Math.max(0, startedAt + limitMs - monotonicMs()));
@@ -244,10 +260,7 @@
     clearTimeout(timer);
     outgoing.off('close', onClose);
     memory.unread.track(outgoing);
-    const { organisation } = authorised;
-    if (failure?.effect === 'not_run' && organisation !== undefined && charged.value > 0) {
-      quota.refund(organisation.id, charged.value);
-    }
+    if (failure?.effect === 'not_run') refund();
     logEnd(req, authorised, startedAt, outgoing.statusCode, failure);
   };
 
--- a/packages/serving/src/serving-node.ts
+++ b/packages/serving/src/serving-node.ts
@@ -26,6 +26,7 @@
 import { isLargeFleet, localReportIntervalMs } from './peer-reports.js';
 import { createPrefillRate } from './prefill-rate.js';
 import { createPrefillWork } from './prefill-work.js';
+import { createQuotaGrants } from './quota-grants.js';
 import { createRetryBudget } from './retry-budget.js';
 import { createRoleOrders } from './role-orders.js';
 import { createRollouts } from './rollouts/index.js';
@@ -88,6 +89,18 @@
   });
 
   const datagrams = createPeerDatagrams({ self, telemetry });
+  const quotaGrants = createQuotaGrants({
+    self,
+    quota,
+    datagrams,
+    peers: recipients,
+    isSilent: livePeers.hasTimedOut,
+    startOf: livePeers.startOf,
+    startedAt: monotonicMs(),
+    epoch: startedAt,
+    windowMs: options.quotaTolerance.windowMs,
+    telemetry,
+  });
   const crashProtection = createCrashProtection({
     self: self.node,
     transport,
@@ -203,7 +216,10 @@
     watcherSelection,
     contact,
     registry,
-    onHeard: allocation.recordReport,
+    onHeard: (node) => {
+      allocation.recordReport(node);
+      quotaGrants.recordReport(node);
+    },
     telemetry,
   });
 
@@ -232,7 +248,7 @@
     dataCentre: dataCentreId(options.dataCentre),
     directory,
     transport,
-    quota,
+    quota: { debit: quotaGrants.debit, refund: quota.refund },
     retryBudget: createRetryBudget({ ...options.retryBudget, nodes: fleetSize }),
     crashProtection,
     permits: limits,
@@ -265,6 +281,7 @@
   const receive = createPeerMessages({
     handlers: [
       limits.receive,
+      quotaGrants.receive,
       allocation.receive,
       rollouts.receive,
       crashProtection.receive,
--- a/packages/serving/test/organisation-quota.test.ts
+++ b/packages/serving/test/organisation-quota.test.ts
@@ -1,13 +1,22 @@
-import { organisationId } from '@hibiscusbank/core';
 import { afterEach, beforeEach, expect, test, vi } from 'vitest';
 import { hasFreeCapacity } from '../src/free-capacity.js';
 import { createOrganisationQuota } from '../src/organisation-quota.js';
-import {
-  isLargeFleet,
-  localReportIntervalMs,
-  remoteReportIntervalMs,
-} from '../src/peer-reports.js';
 import type { OrganisationQuota } from '../src/organisation-quota.js';
+import {
+  BURST,
+  largestWindow,
+  organisation,
+  playDemand,
+  RATE,
+  REPORT_MS,
+  reportIntervals,
+  STEP_MS,
+  STREAM_TOKENS,
+  TOLERANCE,
+  total,
+  WINDOW_LIMIT,
+} from './support/quota-fleet.js';
+import type { Simulation } from './support/quota-fleet.js';
 
 beforeEach(() => {
   vi.useFakeTimers({ toFake: ['setTimeout', 'clearTimeout', 'performance'] });
@@ -17,134 +26,6 @@
   vi.useRealTimers();
 });
 
-const RATE = 30_000;
-const BURST = 30_000;
-const TOLERANCE = { windowMs: 8_000, ratio: 0.1, allowance: 110_000 };
-const STREAM_TOKENS = 8_000;
-const STEP_MS = 50;
-const REPORT_MS = 200;
-/** Time until a node notices that it no longer hears from another one. */
-const TIMEOUT_MS = 1_200;
-const WINDOW_LIMIT =
-  (RATE * (TOLERANCE.windowMs / 1_000) + BURST) * (1 + TOLERANCE.ratio) + TOLERANCE.allowance;
-
-const organisation = {
-  id: organisationId('workshop'),
-  keys: [],
-  priority: undefined,
-  ratePerSecond: RATE,
-  burst: BURST,
-  countsTokens: true,
-  defaultTokens: 200,
-};
-
-interface SimulatedNode {
-  quota: OrganisationQuota;
-  epoch: number;
-  share: number;
-  /** Tokens asked of this node that do not make up a whole request yet. */
-  backlog: number;
-}
-
-interface Simulation {
-  readonly nodes: number;
-  readonly seconds: number;
-  /** Tokens per second that the organisation asks of all nodes together. */
-  readonly demand: (second: number) => number;
-  /** Whether two nodes reach each other. */
-  readonly isConnected?: (a: number, b: number, ms: number) => boolean;
-  readonly dataCentres?: number;
-  /** Interval between two reports of one node to another. */
-  readonly intervalMs?: (a: number, b: number) => number;
-  /** Nodes that restart at a time. */
-  readonly restarts?: (ms: number) => readonly number[];
-  readonly hasFreeCapacity?: boolean;
-}
-
-/** Plays nodes that exchange reports, and returns the tokens granted by step and node. */
-async function playDemand(simulation: Simulation) {
-  const { nodes, seconds, demand, isConnected = () => true } = simulation;
-  const { intervalMs = () => REPORT_MS, dataCentres = 1 } = simulation;
-  const dataCentreOf = (index: number): string => `dc${index % dataCentres}`;
-  const hasFree = simulation.hasFreeCapacity ?? true;
-  const createNode = (index: number, epoch: number, startedAt: number): SimulatedNode => {
-    const node: SimulatedNode = {
-      epoch,
-      share: 1,
-      // Requests do not arrive at all nodes at the same moment.
-      backlog: (index / nodes) * STREAM_TOKENS,
-      quota: undefined as never,
-    };
-    node.quota = createOrganisationQuota({
-      reachableShare: () => node.share,
-      tolerance: TOLERANCE,
-      startedAt,
-      epoch,
-      dataCentre: dataCentreOf(index),
-      reportIntervalMs: () => intervalMs(index, index + dataCentres),
-      usesSummaries: () => isLargeFleet(nodes),
-    });
-    node.quota.setOrganisations([organisation]);
-    return node;
-  };
-  const fleet = Array.from({ length: nodes }, (_, index) =>
-    createNode(index, -60_000, performance.now() - 60_000),
-  );
-  const heardAt = new Float64Array(nodes * nodes);
-  const granted: number[][] = [];
-
-  const exchangeReports = (ms: number): void => {
-    fleet.forEach((receiver, to) => {
-      let reached = 1;
-      fleet.forEach((sender, from) => {
-        if (from === to) return;
-        const pair = from * nodes + to;
-        const interval = Math.ceil(intervalMs(from, to) / REPORT_MS) * REPORT_MS;
-        // Nodes report in turn, so reports to different peers fall on different rounds.
-        const isTurn = (ms + (from * 7 + to * 13) * REPORT_MS) % interval === 0;
-        if (isTurn && isConnected(from, to, ms)) {
-          heardAt[pair] = ms;
-          receiver.quota.applyReport({
-            node: `node-${from}`,
-            dataCentre: dataCentreOf(from),
-            startedAt: sender.epoch,
-            spent: sender.quota.spent(),
-            spentNearby: sender.quota.spentNearby(),
-          });
-        }
-        const timeoutMs = Math.max(TIMEOUT_MS, 4 * interval);
-        if (ms - (heardAt[pair] ?? 0) <= timeoutMs) reached += 1;
-        else receiver.quota.markAbsent(`node-${from}`);
-      });
-      receiver.share = reached / nodes;
-    });
-  };
-
-  for (let ms = 0; ms < seconds * 1_000; ms += STEP_MS) {
-    for (const index of simulation.restarts?.(ms) ?? []) {
-      fleet[index] = createNode(index, ms + 1, performance.now());
-    }
-    if (ms % REPORT_MS === 0) exchangeReports(ms);
-    const perNode = (demand(ms / 1_000) * STEP_MS) / 1_000 / nodes;
-    granted.push(
-      fleet.map((node) => {
-        let tokens = 0;
-        for (
-          node.backlog += perNode;
-          node.backlog >= STREAM_TOKENS;
-          node.backlog -= STREAM_TOKENS
-        ) {
-          const { isGranted } = node.quota.debit(organisation, STREAM_TOKENS, hasFree);
-          if (isGranted) tokens += STREAM_TOKENS;
-        }
-        return tokens;
-      }),
-    );
-    await vi.advanceTimersByTimeAsync(STEP_MS);
-  }
-  return granted.map((step) => step.reduce((sum, tokens) => sum + tokens, 0));
-}
-
 /** Applies a report of a peer in the same data centre. */
 function applySpent(
   quota: OrganisationQuota,
@@ -154,14 +35,6 @@
   quota.applyReport({ node: 'node-2', dataCentre: 'a', startedAt, spent, spentNearby: {} });
 }
 
-const total = (granted: readonly number[], from = 0, to = Infinity): number =>
-  granted.slice(from, to).reduce((sum, tokens) => sum + tokens, 0);
-
-function largestWindow(granted: readonly number[]): number {
-  const steps = TOLERANCE.windowMs / STEP_MS;
-  return Math.max(...granted.map((_, start) => total(granted, start, start + steps)));
-}
-
 // An organisation whose few large requests bunch was refused while engines were idle.
 test('an organisation within its rate is not refused when its requests bunch beyond the burst', async () => {
   // On average half of the rate, in bunches of one second every four.
@@ -219,16 +92,12 @@
 ])(
   'no window exceeds the tolerance of a hot organisation in a fleet of %i nodes',
   async (nodes, dataCentres) => {
-    const local = nodes / dataCentres - 1;
     const granted = await playDemand({
       nodes,
       dataCentres,
       seconds: 45,
       demand: (second) => (second < 30 || second > 38 ? RATE / 2 : RATE * 4),
-      intervalMs: (a, b) =>
-        a % dataCentres === b % dataCentres
-          ? localReportIntervalMs(local, nodes)
-          : remoteReportIntervalMs(nodes - local, nodes),
+      intervalMs: reportIntervals(nodes, dataCentres),
     });
     expect(largestWindow(granted)).toBeLessThanOrEqual(WINDOW_LIMIT);
   },
@@ -303,11 +172,12 @@
   expect(quota.debit(organisation, BURST, true).isGranted).toBe(false);
 });
 
-// After a power failure of all nodes the callers that come back at once were refused.
-test('after an outage of all nodes the buckets are full', () => {
+// After a restart of all nodes a window held the burst that was spent before it and another one.
+test('the buckets of a process that starts after an outage of all nodes hold only what was refilled since', () => {
   const quota = createStartedQuota(700);
   applySpent(quota, 99_500, {});
-  expect(quota.debit(organisation, BURST, false).isGranted).toBe(true);
+  expect(quota.debit(organisation, BURST * 0.8, false).isGranted).toBe(false);
+  expect(quota.debit(organisation, BURST * 0.6, false).isGranted).toBe(true);
 });
 
 // In a large fleet each node reports to a remote one every few seconds. After a restart of a data centre each
