Start buckets with a tenth of the tolerated excess after an outage of all nodes

Cause: the operators tolerate an excess in a window, and a restart used none of it. Change: when no peer is heard that ran before, a bucket starts with a tenth of the tolerated excess, up to the burst. Overdrafts use up to three quarters of it before a restart.

--- a/packages/serving/src/organisation-quota.ts
+++ b/packages/serving/src/organisation-quota.ts
@@ -24,6 +24,12 @@
  * cause all small requests of an organisation to be refused.
  */
 const SMALL_OVERDRAFT_SHARE = 0.75;
+/**
+ * Fraction of the tolerated excess, up to the burst, with which buckets start after an outage of all nodes.
+ * Overdrafts of the processes that have ended may have used the rest. With less, callers that come back at
+ * once are refused.
+ */
+const START_SHARE = 0.1;
 /** Fraction of the burst up to which a request is small. */
 const SMALL_REQUEST_SHARE = 0.02;
 
@@ -33,6 +39,11 @@
  */
 const MAX_OVERDRAFT_INTERVAL_MS = 2_500;
 
+/** Time after the start of a process in which the first reports of running peers arrive. */
+const FIRST_REPORTS_MS = 600;
+/** Peers whose processes started by more than this before this one were running when it started. */
+const RUNNING_BEFORE_MS = 3_000;
+
 /** Spending in any window that the operator tolerates beyond rate and burst. */
 export interface QuotaTolerance {
   readonly windowMs: number;
@@ -127,6 +138,8 @@
   /** Refill of nodes out of contact. It pays for their spending when contact returns. */
   withheld: number;
   refilledAt: number;
+  /** Whether it was decided with how many tokens the bucket starts. */
+  isSettled: boolean;
 }
 
 function addTo(totals: Map<string, number>, organisation: string, tokens: number): void {
@@ -139,6 +152,7 @@
   const buckets = new Map<OrganisationId, Bucket>();
   const localSpent = new Map<string, number>();
   const absent = new Set<string>();
+  let hasRunningPeer = false;
   const spentNearby = new Map<string, number>();
   const nodeTotals = createNodeTotals();
   const dataCentreTotals = new Map<string, DataCentreTotals>();
@@ -147,12 +161,19 @@
 
   const noticed = createNoticedSpending(unixNow);
 
+  /** Returns the spending of an organisation in a window that the operator tolerates beyond rate and burst. */
+  const toleratedExcess = ({ ratePerSecond, burst }: ServingOrganisation): number => {
+    const window = ratePerSecond * (tolerance.windowMs / MS_PER_S) + burst;
+    return tolerance.ratio * window + tolerance.allowance;
+  };
+
   const addBucket = (organisation: ServingOrganisation): Bucket => {
     const bucket: Bucket = {
       organisation,
       tokens: 0,
       withheld: 0,
       refilledAt: startedAt,
+      isSettled: false,
     };
     buckets.set(organisation.id, bucket);
     return bucket;
@@ -163,7 +184,12 @@
     const share = reachableShare();
     const { ratePerSecond, burst } = bucket.organisation;
     const gained = ((now - bucket.refilledAt) / MS_PER_S) * ratePerSecond;
-    bucket.tokens = Math.min(burst * share, bucket.tokens + gained * share);
+    let tokens = bucket.tokens + gained * share;
+    if (!bucket.isSettled && now - startedAt >= FIRST_REPORTS_MS) {
+      bucket.isSettled = true;
+      if (!hasRunningPeer) tokens += START_SHARE * toleratedExcess(bucket.organisation) * share;
+    }
+    bucket.tokens = Math.min(burst * share, tokens);
     bucket.withheld =
       share < 1 ? bucket.withheld + gained * (1 - share) : Math.max(0, bucket.withheld - gained);
     bucket.refilledAt = now;
@@ -204,13 +230,13 @@
     }
   };
 
-  const overdraft = ({ ratePerSecond, burst }: ServingOrganisation, tokens: number): number => {
+  const overdraft = (organisation: ServingOrganisation, tokens: number): number => {
+    const { burst } = organisation;
     // The spending of the window before the start is unknown and may have used the tolerance.
     if (monotonicMs() - startedAt < tolerance.windowMs) return 0;
     if (options.reportIntervalMs() > MAX_OVERDRAFT_INTERVAL_MS) return 0;
-    const window = ratePerSecond * (tolerance.windowMs / MS_PER_S) + burst;
     const share = tokens <= burst * SMALL_REQUEST_SHARE ? SMALL_OVERDRAFT_SHARE : OVERDRAFT_SHARE;
-    return share * (tolerance.ratio * window + tolerance.allowance);
+    return share * toleratedExcess(organisation);
   };
 
   /** Returns the time in which `tokens` are refilled. */
@@ -279,6 +305,7 @@
     applyReport: (report) => {
       const { node, dataCentre, startedAt: epoch } = report;
       const isNearby = dataCentre === options.dataCentre;
+      if (epoch < options.epoch - RUNNING_BEFORE_MS) hasRunningPeer = true;
       // What a peer spent before this process started left buckets that this process never had.
       const spentByNode = nodeTotals.takeNew(node, epoch, report.spent, epoch < options.epoch);
       if (isNearby) {
