Keep retries of restarted nodes within the allowance of the fleet

Cause: a node that has not read the registry counted itself as the whole fleet and took its whole allowance. Besides, two generations of processes used 0.6 of the allowance each in one window. Change: no allowance until the registry is read, and 0.3 of it in the first window of a process. Retries by the number of requests remain.

--- a/packages/serving/src/retry-budget.ts
+++ b/packages/serving/src/retry-budget.ts
@@ -13,8 +13,8 @@
   /** Retries of the whole fleet permitted in a window regardless of the number of requests. */
   readonly allowance: number;
   readonly windowMs: number;
-  /** Returns the number of nodes that share the allowance. */
-  readonly nodes: () => number;
+  /** Returns the number of nodes that share the allowance; `undefined` while it is not known. */
+  readonly nodes: () => number | undefined;
 }
 
 export interface RetryBudget {
@@ -31,10 +31,11 @@
  */
 const USED_SHARE = 0.85;
 /**
- * Fraction of the allowance that is used. A restarted node has lost its count, so the rest is kept
- * for restarts.
+ * Fraction of the allowance that is used. A restarted node has lost its count, so in the first window of its
+ * process it uses no more than the rest.
  */
 const USED_ALLOWANCE_SHARE = 0.6;
+const FIRST_WINDOW_ALLOWANCE_SHARE = 0.3;
 
 interface PoolBudget {
   requests: number[];
@@ -51,6 +52,16 @@
 export function createRetryBudget(options: RetryBudgetOptions): RetryBudget {
   const { ratio, allowance, windowMs, nodes } = options;
   const pools = new Map<PoolId, PoolBudget>();
+  const startedAt = monotonicMs();
+
+  /** Returns the part of the allowance that this node may use now. */
+  const allowanceShare = (): number => {
+    const count = nodes();
+    if (count === undefined) return 0;
+    const isFirstWindow = monotonicMs() - startedAt < windowMs;
+    const share = isFirstWindow ? FIRST_WINDOW_ALLOWANCE_SHARE : USED_ALLOWANCE_SHARE;
+    return (allowance * share) / Math.max(1, count);
+  };
 
   const currentBudget = (pool: PoolId): PoolBudget => {
     let budget = pools.get(pool);
@@ -66,8 +77,7 @@
 
   const canTake = (pool: PoolId): boolean => {
     const budget = currentBudget(pool);
-    const allowanceShare = (allowance * USED_ALLOWANCE_SHARE) / Math.max(1, nodes());
-    const limit = Math.floor(USED_SHARE * ratio * budget.requests.length + allowanceShare);
+    const limit = Math.floor(USED_SHARE * ratio * budget.requests.length + allowanceShare());
     return budget.retries.length < limit;
   };
 
--- a/packages/serving/src/serving-node.ts
+++ b/packages/serving/src/serving-node.ts
@@ -249,7 +249,10 @@
     directory,
     transport,
     quota: { debit: quotaGrants.debit, refund: quota.refund },
-    retryBudget: createRetryBudget({ ...options.retryBudget, nodes: fleetSize }),
+    retryBudget: createRetryBudget({
+      ...options.retryBudget,
+      nodes: () => (registry.isRead() ? fleetSize() : undefined),
+    }),
     crashProtection,
     permits: limits,
     unavailable,
--- a/packages/serving/test/decisions.test.ts
+++ b/packages/serving/test/decisions.test.ts
@@ -142,6 +142,49 @@
   }
 });
 
+// A restarted node has lost its count, and until it has read the registry it took itself for the whole fleet.
+test.each([
+  ['before the registry is read', 600],
+  ['after the registry is read', 0],
+])(
+  'the retries of nodes that all restart in a window stay within the limit of the fleet, %s',
+  async (_, unreadMs) => {
+    const nodes = 6;
+    const createBudgets = () => {
+      const startedAt = performance.now();
+      const isRead = (): boolean => performance.now() - startedAt >= unreadMs;
+      return Array.from({ length: nodes }, () =>
+        createRetryBudget({
+          ratio: 0.2,
+          allowance: 52,
+          windowMs: 10_000,
+          nodes: () => (isRead() ? nodes : undefined),
+        }),
+      );
+    };
+    let budgets = createBudgets();
+    await vi.advanceTimersByTimeAsync(20_000);
+    const requests: number[] = [];
+    const retries: number[] = [];
+    for (let time = 0; time < 30_000; time += 100) {
+      if (time === 12_000) budgets = createBudgets();
+      for (const budget of budgets) {
+        if (time % 2_000 === 0) {
+          budget.recordRequest(pool);
+          requests.push(time);
+        }
+        if (budget.take(pool)) retries.push(time);
+      }
+      await vi.advanceTimersByTimeAsync(100);
+    }
+    for (let start = 0; start < 20_000; start += 500) {
+      const inWindow = (times: number[]): number =>
+        times.filter((time) => time >= start && time < start + 10_000).length;
+      expect(inWindow(retries)).toBeLessThanOrEqual(0.2 * inWindow(requests) + 52);
+    }
+  },
+);
+
 test.each([1, 3, 6, 77])(
   '%i nodes together stay within the rate limit of a cold upstream',
   (count) => {
