Let two restarts in a window keep to the tolerance

Cause: the windows of quota-restarts.test.ts, played with a restart each 100 ms, exceeded the bound once: six nodes at 7.5 times the rate that all end at 13.4 s and again 2 s later granted 408,000 tokens of 407,000. Each restart adds what buckets start with, a tenth of the tolerated excess. Change: a twentieth.

--- a/packages/serving/src/organisation-quota.ts
+++ b/packages/serving/src/organisation-quota.ts
@@ -26,10 +26,10 @@
 const SMALL_OVERDRAFT_SHARE = 0.75;
 /**
  * Fraction of the tolerated excess, up to the burst, with which buckets start after an outage of all nodes.
- * Overdrafts of the processes that have ended may have used the rest. With less, callers that come back at
- * once are refused.
+ * Without it callers that come back at once are refused; with more, two restarts in a window exceed the rest
+ * that overdrafts leave.
  */
-const START_SHARE = 0.1;
+const START_SHARE = 0.05;
 /** Fraction of the burst up to which a request is small. */
 const SMALL_REQUEST_SHARE = 0.02;
 
--- a/packages/serving/test/organisation-quota.test.ts
+++ b/packages/serving/test/organisation-quota.test.ts
@@ -173,12 +173,12 @@
 });
 
 // After a restart of all nodes a window held the burst that was spent before it and another one.
-test('buckets hold no burst beyond a tenth of the tolerated excess after an outage of all nodes', () => {
+test('buckets hold no burst beyond a twentieth of the tolerated excess after an outage of all nodes', () => {
   const quota = createStartedQuota(650, { ...TOLERANCE, allowance: 0 });
   applySpent(quota, 99_500, {});
-  // 19,500 tokens were refilled, and 2,700 are a tenth of the tolerated excess.
-  expect(quota.debit(organisation, 23_000, false).isGranted).toBe(false);
-  expect(quota.debit(organisation, 22_000, false).isGranted).toBe(true);
+  // 19,500 tokens were refilled, and 1,350 are a twentieth of the tolerated excess.
+  expect(quota.debit(organisation, 21_500, false).isGranted).toBe(false);
+  expect(quota.debit(organisation, 20_500, false).isGranted).toBe(true);
 });
 
 // In a large fleet each node reports to a remote one every few seconds. After a restart of a data centre each
