--- a/packages/serving/test/support/test-node.ts
+++ b/packages/serving/test/support/test-node.ts
@@ -212,6 +212,7 @@
   readonly nodes: FakeStore;
   readonly leases: FakeStore;
   readonly quarantines: FakeStore;
+  readonly streamOrigins: FakeStore;
   readonly rollouts: FakeStore;
 }
 
@@ -226,6 +227,7 @@
     leases: createFakeStore(era),
     rollouts: createFakeStore(era),
     quarantines: createFakeStore(era),
+    streamOrigins: createFakeStore(era),
   };
   stores.tables.put('main', tables);
   return stores;
@@ -280,7 +282,7 @@
       if (headers.host === undefined) return err(new Error('no host') as never);
       const usage = /^(\d+),(\d+)$/.exec(String(headers['x-usage'] ?? ''));
       return ok({
-        id: `request-${requestCount}`,
+        id: headers['x-id']?.toString() ?? `request-${requestCount}`,
         method: incoming.method ?? 'GET',
         path: incoming.url ?? '/',
         host: 'site.example',
@@ -299,6 +301,7 @@
           .split(',')
           .filter(Boolean),
         lastEventId: headers['last-event-id']?.toString(),
+        resumes: headers.resumes?.toString(),
       });
     },
     retryBudget: { ratio: 0.2, allowance: 52, windowMs: 10_000 },
