Continue a broken stream only at the software version that began it

Cause: a node that goes on with a stream whose engine broke off chose among all engines of the pool. It knew the version of the first one and did not look at it. The class: a choice that was made for new requests is reused for ones that have a past.

Change: the version of the engine that answered first binds the stream; reservations go only to decode engines of it, past allocators, which grant any version. If no other decode engine of the version serves, the answer is broken off at once, also while it waits for memory. Prefill engines of another version stay allowed, since only the decode engine writes events.

Ruled out: the stall watch, copies and moves of memory; they end in the same reservation, and nothing else sends continuations.

--- a/packages/serving/src/context.ts
+++ b/packages/serving/src/context.ts
@@ -9,6 +9,7 @@
 } from '@hibiscusbank/core';
 import { monotonicMs } from '@hibiscusbank/core';
 import type { Allocation } from './allocation/index.js';
+import { listOfVersion } from './bound-version.js';
 import type { ColdLimit, ColdPermit } from './cold-limit.js';
 import type { CrashProtection } from './crash-protection.js';
 import type { Directory, KnownUpstream } from './directory.js';
@@ -27,7 +28,7 @@
 import type { QuotaGrants } from './quota-grants.js';
 import type { RequestLimits } from './request-limits.js';
 import type { RetryBudget } from './retry-budget.js';
-import type { Rollouts } from './rollouts/index.js';
+import type { Rollouts, UpstreamVersion } from './rollouts/index.js';
 import type { ExpectedOutput, RunDurations } from './run-durations.js';
 import type {
   ServingOrganisation,
@@ -175,12 +176,18 @@
   return mayTakeUnknown(view) ? 0 : limitMs;
 }
 
-/** Returns the upstreams that a request may be sent to now; `failed` are those on which it failed. */
+/**
+ * Returns the upstreams that a request may be sent to now; `failed` are those on which it failed. A stream
+ * that has begun passes the `version` that began it.
+ */
 export function listCandidates(
-  { directory, rollouts }: ServingContext,
+  context: ServingContext,
   { pool, req, route }: AdmittedRequest,
   failed: ReadonlySet<UpstreamId>,
+  version?: UpstreamVersion,
 ): readonly KnownUpstream[] {
+  const { directory, rollouts } = context;
+  if (version !== undefined) return listOfVersion(context, pool.id, version);
   return rollouts.select(directory.usable(pool.id), { id: req.id, route: route.id, failed });
 }
 
--- a/packages/serving/src/reserve-engine.ts
+++ b/packages/serving/src/reserve-engine.ts
@@ -7,6 +7,7 @@
 import type { AdmittedRequest, EngineReservation, ServingContext } from './context.js';
 import type { KnownUpstream } from './directory.js';
 import { rankDecode } from './placement.js';
+import type { UpstreamVersion } from './rollouts/index.js';
 import { startTimeLimit } from './time-limit.js';
 import type { EngineSettings, ModelUsage } from './types.js';
 
@@ -116,8 +117,8 @@
 }
 
 /**
- * Reserves capacity on an engine. Resolves to `undefined` when no engine that was asked has free
- * capacity.
+ * Reserves capacity on an engine, on one of `version` if the stream is bound to it. Resolves to `undefined`
+ * when no engine that was asked has free capacity.
  */
 export async function reserveEngine(
   context: ServingContext,
@@ -126,12 +127,13 @@
   tokens: number,
   excluded: ReadonlySet<UpstreamId>,
   missedTarget: boolean,
+  version?: UpstreamVersion,
 ): Promise<EngineReservation | undefined> {
   const { loads } = context;
   const { pool, signal } = admitted;
   const placement = createPlacementContext(context, pool, loads, excluded);
   const rank = (failed: ReadonlySet<UpstreamId>): readonly KnownUpstream[] =>
-    rankDecode(listCandidates(context, admitted, failed), placement, {
+    rankDecode(listCandidates(context, admitted, failed, version), placement, {
       tokens: missedTarget ? tokens + engineSettings.memoryTokens * PAST_TARGET_FREE_SHARE : tokens,
       memoryTokens: engineSettings.memoryTokens,
       slots: engineSettings.slots,
@@ -142,7 +144,7 @@
     // A request that the few engines of a new version cannot take is served as if it had failed there.
     const [first] = ranked;
     const others = rank(new Set([...excluded, ...ranked.map(({ id }) => id)]));
-    const otherVersion = others.filter(({ version }) => version !== first?.version);
+    const otherVersion = others.filter((other) => other.version !== first?.version);
     asked.splice(otherVersion.length > 0 ? 1 : asked.length, Infinity, ...otherVersion);
   }
   for (const upstream of asked.slice(0, MAX_ENGINES_ASKED)) {
--- a/packages/serving/src/serve-stream.ts
+++ b/packages/serving/src/serve-stream.ts
@@ -62,6 +62,7 @@
     return broken;
   }
   startResponse(outgoing, reply);
+  state.version ??= upstream.version;
   const blocksBefore = progress.blocks;
   const onPause = (pauseMs: number): void => {
     context.pace.record(upstream.id, pauseMs);
@@ -72,7 +73,11 @@
     versionRun.recordFirst();
     const ms = Math.round(monotonicMs() - admitted.startedAt);
     context.telemetry.metrics.firstTokenSeconds.observe({ pool: admitted.pool.id }, ms / 1_000);
-    context.telemetry.log('streamStarted', { request: admitted.req.id, ms });
+    context.telemetry.log('streamStarted', {
+      request: admitted.req.id,
+      ms,
+      version: upstream.version,
+    });
   };
   const isComplete = await relayEvents(reply, outgoing, progress, onFirstEvent, onPause);
   // Without events, a response may have been cut off after its head. Only a caller that resumes its stream
@@ -282,6 +287,7 @@
     wasPrefilled: false,
     runs: 0,
     effect: 'not_run',
+    version: undefined,
   };
   let lastFailure: SendFailure = { effect: 'not_run', wasSent: false, reason: 'unreachable' };
   for (let sends = 0; sends < MAX_SENDS && !signal.aborted; sends += 1) {
--- a/packages/serving/src/stream-state.ts
+++ b/packages/serving/src/stream-state.ts
@@ -2,6 +2,7 @@
 import type { UpstreamId } from '@hibiscusbank/core';
 import type { AdmittedRequest } from './context.js';
 import type { StreamProgress } from './relay-events.js';
+import type { UpstreamVersion } from './rollouts/index.js';
 import type { EngineSettings, KvHandle } from './types.js';
 
 export interface StreamState {
@@ -19,4 +20,6 @@
   /** Number of sends that an engine may have run. */
   runs: number;
   effect: 'not_run' | 'unknown';
+  /** Version of the engine that began the stream, once it has begun. */
+  version: UpstreamVersion | undefined;
 }
--- a/packages/serving/src/wait-for-reservation.ts
+++ b/packages/serving/src/wait-for-reservation.ts
@@ -4,6 +4,7 @@
 import { err } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import { allocateEngine } from './allocate-capacity.js';
+import { describeVersionGone, hasDecodeEngine, hasOtherVersions } from './bound-version.js';
 import { computeNeededMs, remainingMs } from './context.js';
 import type { EngineReservation, ServingContext } from './context.js';
 import { describeDraining, describeLimited } from './failures.js';
@@ -14,7 +15,7 @@
 /**
  * Waits for a reservation. Errors: `no_capacity`, `cancelled`, and `not_ready` once the run could no
  * longer end before this node stops. A stream that has begun is not refused: its caller would be cut
- * off at once, and may get the rest.
+ * off at once, and may get the rest. One that is bound to a version ends as soon as no engine of it serves.
  */
 export async function waitForReservation(
   context: ServingContext,
@@ -38,23 +39,30 @@
     context.telemetry.log('permitRefused', { request: req.id, retryAfterMs });
     return err(describeLimited(retryAfterMs));
   }
+  const { version } = state;
+  const isStranded = (): boolean =>
+    version !== undefined && !hasDecodeEngine(context, pool.id, version, failedDecode);
+  if (version !== undefined && isStranded()) return err(describeVersionGone(version));
   const waiting = new AbortController();
   const endWait = (): void => waiting.abort();
   signal.addEventListener('abort', endWait, { once: true });
   const stopWatch = state.progress.hasEvents
     ? () => {}
     : context.drain.onTooLate(computeNeededMs(context, admitted), endWait);
-  const allocated = context.allocation.isActive(pool.id)
-    ? await allocateEngine(
-        context,
-        admitted,
-        engineSettings,
-        tokens,
-        plan,
-        failedDecode,
-        waiting.signal,
-      )
-    : undefined;
+  // An allocator grants engines of any version.
+  const mayAllocate = version === undefined || !hasOtherVersions(context, pool.id, version);
+  const allocated =
+    mayAllocate && context.allocation.isActive(pool.id)
+      ? await allocateEngine(
+          context,
+          admitted,
+          engineSettings,
+          tokens,
+          plan,
+          failedDecode,
+          waiting.signal,
+        )
+      : undefined;
   const passedMs = monotonicMs() - startedAt;
   const result =
     allocated ??
@@ -64,8 +72,20 @@
       onTargetMs: Math.max(0, plan.onTargetMs - passedMs),
       maxWaitMs: Math.max(0, plan.maxWaitMs - passedMs),
       signal: waiting.signal,
-      reserve: (missedTarget) =>
-        reserveEngine(context, admitted, engineSettings, tokens, failedDecode, missedTarget),
+      reserve: async (missedTarget) => {
+        if (isStranded()) endWait();
+        return waiting.signal.aborted
+          ? undefined
+          : reserveEngine(
+              context,
+              admitted,
+              engineSettings,
+              tokens,
+              failedDecode,
+              missedTarget,
+              version,
+            );
+      },
       release: (reservation) => {
         reservation.release();
         context.transport.dropReservation(reservation.upstream, reservation.id);
@@ -73,6 +93,8 @@
     }));
   stopWatch();
   signal.removeEventListener('abort', endWait);
+  if (result.isErr() && version !== undefined && isStranded())
+    return err(describeVersionGone(version));
   const isTooLate = result.isErr() && waiting.signal.aborted && !signal.aborted;
   return isTooLate ? err(describeDraining(context.drainView())) : result;
 }
--- a/packages/serving/test/stream-versions.test.ts
+++ b/packages/serving/test/stream-versions.test.ts
@@ -122,7 +122,7 @@
   });
 
 // Guards against answers that are joined from the events of two software versions.
-test.fails('a node continues a broken stream only at the version that began it', async () => {
+test('a node continues a broken stream only at the version that began it', async () => {
   const transport = createFakeTransport();
   const stores = createTestStores();
   addEngines(stores, 'v1', 2);
@@ -138,7 +138,7 @@
 });
 
 // Guards against a caller who waits to the deadline for a stream that no engine can continue.
-test.fails('a broken stream ends at once when no other engine of its version serves', async () => {
+test('a broken stream ends at once when no other engine of its version serves', async () => {
   const transport = createFakeTransport();
   const stores = createTestStores();
   addEngines(stores, 'v1', 1);
