Refuse a repeated request alone, however many parts its prompt has

What callers saw: nothing yet; found by reading. A sound request whose prompt shares 16 parts or more with a repeated one that ended three engines would have been refused with it, if none of these parts was answered in the last minute.

Cause: a cause of more than 16 suspects is spread over several quarantines, and only one of them held the request itself; the others refused all requests with their parts. The class: a limit of size changes what a decision means.

Change: if the request is among the suspects, one quarantine holds it with the parts that fit. A bad part that does not fit is found by its next ends.

Result: the new test failed with 16 and 40 parts and passes with 1, 15, 16 and 40.

--- a/packages/serving/src/part-quarantine.ts
+++ b/packages/serving/src/part-quarantine.ts
@@ -13,6 +13,7 @@
 import { createPartSuspicions } from './part-suspicions.js';
 import type { LikelyCause, UpstreamEnd } from './part-suspicions.js';
 import type { QuarantinedParts } from './quarantine-notices.js';
+import { isRequestId } from './request-suspects.js';
 
 /**
  * Time between an end and the decision on its cause, in which the reports of all nodes arrive. The
@@ -192,8 +193,15 @@
 
   const quarantineCause = ({ parts, ends, isAmbiguous }: LikelyCause): void => {
     const lengthMs = isAmbiguous ? AMBIGUOUS_QUARANTINE_MS : FIRST_QUARANTINE_MS;
-    for (let first = 0; first < parts.length; first += MAX_JOINT_PARTS)
-      start(parts.slice(first, first + MAX_JOINT_PARTS), ends, lengthMs);
+    const request = parts.find(isRequestId);
+    if (request === undefined) {
+      for (let first = 0; first < parts.length; first += MAX_JOINT_PARTS)
+        start(parts.slice(first, first + MAX_JOINT_PARTS), ends, lengthMs);
+    } else {
+      // With the request among them nothing else is refused, and parts that do not fit need not be.
+      const others = parts.filter((part) => part !== request);
+      start([...others.slice(0, MAX_JOINT_PARTS - 1), request], ends, lengthMs);
+    }
     suspicions.explain(ends);
   };
 
--- a/packages/serving/test/many-parts.test.ts
+++ b/packages/serving/test/many-parts.test.ts
@@ -3,7 +3,7 @@
 import { toPartIds } from '../src/part-ids.js';
 import type { UpstreamEnd } from '../src/part-suspicions.js';
 import type { EndNotice } from '../src/quarantine-notices.js';
-import { countLateEnds, createFleet, DEADLY } from './support/crash-fleet.js';
+import { countLateEnds, createFleet, DEADLY, DEADLY_REQUEST } from './support/crash-fleet.js';
 
 beforeEach(() => {
   vi.useFakeTimers({ toFake: ['setTimeout', 'clearTimeout', 'performance'] });
@@ -49,6 +49,20 @@
   },
 );
 
+// Guards against refusing sound requests because one that is repeated shares more parts with them than a quarantine holds.
+test.each([1, 15, 16, 40])('a repeated request with %d parts is refused alone', async (count) => {
+  const fleet = createFleet(6, 12);
+  const parts = createParts(count);
+  for (let round = 0; round < 6; round += 1) {
+    const node = fleet.nodes[round % 6] ?? expect.fail();
+    fleet.serve(node, (round * 5) % 8, parts, DEADLY_REQUEST);
+    await vi.advanceTimersByTimeAsync(2_000);
+  }
+  fleet.serve(fleet.nodes[0] ?? expect.fail(), 1, parts);
+  expect(fleet.refusedSound).toEqual([]);
+  expect(fleet.ends.deadly).toBe(3);
+});
+
 // Guards against harmless parts, of which callers can send any number, that displace the deadly one.
 test('a deadly part is found among engines that run sixty requests of a hundred parts each', async () => {
   const fleet = createFleet(6, 12);
