--- a/packages/serving/src/answered-parts.ts
+++ b/packages/serving/src/answered-parts.ts
@@ -1,5 +1,5 @@
 /**
- * Remembers which prompt parts upstreams answered lately, at this node or at others. Such an answer is
+ * Remembers which requests and prompt parts upstreams answered lately, at this node or at others. Such an answer is
  * the evidence that tells the part that ends upstreams from the sound parts that stand beside it.
  */
 import { monotonicMs } from '@hibiscusbank/core';
--- a/packages/serving/src/crash-protection.ts
+++ b/packages/serving/src/crash-protection.ts
@@ -1,6 +1,7 @@
 /**
  * Protects upstreams from requests that crash them: connects the detection of ended upstreams, the
- * quarantine of prompt parts, and the peers, which learn of each end and each cleared part at once.
+ * quarantine of requests and prompt parts, and the peers, which learn of each end and each cleared part at
+ * once. What counts for a part counts for a request, whose id (`request-suspects`) stands among the parts.
  */
 import { monotonicMs, pickByRendezvous } from '@hibiscusbank/core';
 import type { Telemetry } from '@hibiscusbank/core';
--- a/packages/serving/src/part-quarantine.ts
+++ b/packages/serving/src/part-quarantine.ts
@@ -1,5 +1,6 @@
 /**
- * Refuses requests whose prompts hold parts that end upstreams. Parts are quarantined after several
+ * Refuses requests that end upstreams, or whose prompts hold parts that do. The id of a request itself counts
+ * as one of its parts, one that only its repeats share. Parts are quarantined after several
  * upstreams ended, one after the other, while they ran requests with them, and none has answered such a
  * request in between. While the evidence fits several parts, only requests that hold all of them are
  * refused. The decision makes no network calls.
--- a/packages/serving/src/part-suspicions.ts
+++ b/packages/serving/src/part-suspicions.ts
@@ -1,5 +1,5 @@
 /**
- * Counts, for each part of prompts, the upstreams that ended while they ran requests with it, and finds
+ * Counts, for each part of prompts and for each request itself, the upstreams that ended while they ran requests with it, and finds
  * the parts that explain these ends.
  */
 import { hash32, monotonicMs } from '@hibiscusbank/core';
@@ -15,7 +15,7 @@
 
 /** A request that an upstream was running when it ended. */
 export interface EndedRun {
-  /** Parts of the prompt that other requests can share, in the order of the prompt. */
+  /** Parts of the prompt that other requests can share, in the order of the prompt, and the id of the request. */
   readonly parts: readonly string[];
   /** Time since the request was sent to the upstream, in milliseconds. */
   readonly ageMs: number;
--- a/packages/serving/src/peer-reports.ts
+++ b/packages/serving/src/peer-reports.ts
@@ -69,7 +69,7 @@
   readonly revisions: Readonly<Record<string, KnownRevisions>>;
   readonly changing: RoleChanges;
   readonly prefillMs: PrefillTotals;
-  /** Quarantines of prompt parts; those that do not fit follow in later reports. */
+  /** Quarantines of requests and prompt parts; those that do not fit follow in later reports. */
   readonly quarantined: readonly QuarantinedParts[];
   /** Whether the node knows the quarantines that are in the store. */
   readonly knowsQuarantines: boolean;
--- a/packages/serving/src/quarantine-notices.ts
+++ b/packages/serving/src/quarantine-notices.ts
@@ -9,9 +9,9 @@
 const MAX_KEYS = 64;
 const MAX_KEY_LENGTH = 256;
 
-/** Parts that are refused in prompts that hold all of them. */
+/** Requests and parts that are refused together: in requests that hold all of them. */
 export interface QuarantinedParts {
-  /** Several while the evidence cannot tell which of them ends upstreams. */
+  /** Ids of prompt parts, and of a request. Several while the evidence cannot tell which of them ends upstreams. */
   readonly parts: readonly string[];
   /** Time since the parts were quarantined, in milliseconds. */
   readonly ageMs: number;
--- a/packages/serving/src/serving-node-options.ts
+++ b/packages/serving/src/serving-node-options.ts
@@ -35,7 +35,7 @@
     readonly outOfService: EntryStore;
     readonly nodes: EntryStore;
     readonly leases: EntryStore;
-    /** Prompt parts that end upstreams. */
+    /** Requests and prompt parts that end upstreams. */
     readonly quarantines: EntryStore;
     /** Software versions that began streams. */
     readonly streamOrigins: EntryStore;
