Check the version of an engine that an allocator grants to a bound stream

What callers saw: nothing yet; found by reading.

Cause: that other versions serve was checked before the wait only.

Change: a grant of another version is given back, and the stream waits for an engine of its own at this node.

Result: the tests of streams, allocation and versions pass; there is no test of this race.

--- a/packages/serving/src/stream-origins/stream-origins.ts
+++ b/packages/serving/src/stream-origins/stream-origins.ts
@@ -23,8 +23,6 @@
 
 /** Time in which streams that begin are collected for one message. */
 const NOTICE_DELAY_MS = 20;
-/** Peers that are told of a stream. They keep what this node knows when it ends alone. */
-const TOLD_PEERS = 2;
 /** Maximum number of streams in a message, which has to fit into one datagram. */
 const MAX_STREAMS_IN_MESSAGE = 400;
 /** Maximum number of streams in the entry of a node; the latest are kept. */
@@ -152,7 +150,7 @@
     telemetry,
   });
 
-  /** Returns two live peers, in different data centres if possible. */
+  /** Returns two live peers that keep what this node knows when it ends alone, in different data centres if possible. */
   const choosePeers = (): readonly KnownPeer[] => {
     const ranked = livePeers()
       .map((peer) => ({ peer, rank: random() }))
@@ -160,9 +158,7 @@
       .map(({ peer }) => peer);
     const [first] = ranked;
     const elsewhere = ranked.find(({ dataCentre }) => dataCentre !== first?.dataCentre);
-    return [first, elsewhere ?? ranked[1]]
-      .filter((peer) => peer !== undefined)
-      .slice(0, TOLD_PEERS);
+    return [first, elsewhere ?? ranked[1]].filter((peer) => peer !== undefined);
   };
 
   const tellPeers = (): void => {
--- a/packages/serving/src/wait-for-reservation.ts
+++ b/packages/serving/src/wait-for-reservation.ts
@@ -49,20 +49,30 @@
   const stopWatch = state.progress.hasEvents
     ? () => {}
     : context.drain.onTooLate(computeNeededMs(context, admitted), endWait);
-  // An allocator grants engines of any version.
-  const mayAllocate = version === undefined || !hasOtherVersions(context, pool.id, version);
-  const allocated =
-    mayAllocate && context.allocation.isActive(pool.id)
-      ? await allocateEngine(
-          context,
-          admitted,
-          engineSettings,
-          tokens,
-          plan,
-          failedDecode,
-          waiting.signal,
-        )
-      : undefined;
+  const release = (reservation: EngineReservation): void => {
+    reservation.release();
+    context.transport.dropReservation(reservation.upstream, reservation.id);
+  };
+  const allocate = async (): Promise<Result<EngineReservation, RouterError> | undefined> => {
+    // An allocator grants engines of any version.
+    const mayAllocate = version === undefined || !hasOtherVersions(context, pool.id, version);
+    if (!mayAllocate || !context.allocation.isActive(pool.id)) return undefined;
+    const result = await allocateEngine(
+      context,
+      admitted,
+      engineSettings,
+      tokens,
+      plan,
+      failedDecode,
+      waiting.signal,
+    );
+    // Another version may have appeared while the request waited.
+    if (version === undefined || result?.isOk() !== true) return result;
+    if (result.value.upstream.version === version) return result;
+    release(result.value);
+    return undefined;
+  };
+  const allocated = await allocate();
   const passedMs = monotonicMs() - startedAt;
   const result =
     allocated ??
@@ -86,10 +96,7 @@
               version,
             );
       },
-      release: (reservation) => {
-        reservation.release();
-        context.transport.dropReservation(reservation.upstream, reservation.id);
-      },
+      release,
     }));
   stopWatch();
   signal.removeEventListener('abort', endWait);
