Share the split of lists into datagrams, and wait for what is stored in the test of a restart

Cause: the origins of streams had a copy of a function of the crash protection, and the test slept 600 ms for a write. Change: one function for both; the test waits until the entry holds all its streams.

--- a/packages/serving/src/crash-protection.ts
+++ b/packages/serving/src/crash-protection.ts
@@ -29,6 +29,7 @@
 } from './quarantine-notices.js';
 import { isRequestId } from './request-suspects.js';
 import type { StoreEra } from './store-era.js';
+import { splitIntoMessages } from './split-into-messages.js';
 import { createStoredQuarantines } from './stored-quarantines.js';
 import type { ServingUpstream } from './types.js';
 import { createUpstreamEnds } from './upstream-ends.js';
@@ -98,13 +99,6 @@
   readonly app: Hono;
 }
 
-function inMessages<T>(items: readonly T[]): readonly (readonly T[])[] {
-  const count = Math.ceil(items.length / MAX_PARTS_IN_MESSAGE);
-  return Array.from({ length: count }, (_, index) =>
-    items.slice(index * MAX_PARTS_IN_MESSAGE, (index + 1) * MAX_PARTS_IN_MESSAGE),
-  );
-}
-
 /** Creates the protection of one node. */
 export function createCrashProtection(options: CrashProtectionOptions): CrashProtection {
   const { self, transport, datagrams, recipients, telemetry } = options;
@@ -154,7 +148,8 @@
     Math.max(0, ...suspects.filter(isRequestId).map(quarantine.countEnds));
 
   const tellCleared = (parts: readonly string[]): void => {
-    for (const clearedParts of inMessages(parts)) send({ clearedParts });
+    for (const clearedParts of splitIntoMessages(parts, MAX_PARTS_IN_MESSAGE))
+      send({ clearedParts });
   };
 
   const withJoint = (parts: readonly string[]): readonly string[] => [
@@ -171,7 +166,8 @@
   const liftAny = (part: string): boolean => toPartIds([part]).some(lift) || lift(part);
 
   const tellAnswered = (parts: readonly string[]): void => {
-    for (const answeredParts of inMessages(answered.takeUntold(parts))) send({ answeredParts });
+    for (const answeredParts of splitIntoMessages(answered.takeUntold(parts), MAX_PARTS_IN_MESSAGE))
+      send({ answeredParts });
   };
 
   /** Counts an end, and tells which of the suspects this node had answered lately. */
--- a/packages/serving/src/stream-origins/stream-origins.ts
+++ b/packages/serving/src/stream-origins/stream-origins.ts
@@ -12,6 +12,7 @@
 import type { KnownPeer } from '../peer-reports.js';
 import type { EntryStore } from '../ports.js';
 import type { UpstreamVersion } from '../rollouts/index.js';
+import { splitIntoMessages } from '../split-into-messages.js';
 import type { StoreEra } from '../store-era.js';
 import type { ServingUpstream } from '../types.js';
 import { createBegunStreams, toStreamKey } from './begun-streams.js';
@@ -98,13 +99,6 @@
   readonly telemetry: Telemetry;
 }
 
-function inMessages<T>(items: readonly T[]): readonly (readonly T[])[] {
-  const count = Math.max(1, Math.ceil(items.length / MAX_STREAMS_IN_MESSAGE));
-  return Array.from({ length: count }, (_, index) =>
-    items.slice(index * MAX_STREAMS_IN_MESSAGE, (index + 1) * MAX_STREAMS_IN_MESSAGE),
-  );
-}
-
 /** Creates the service of one node. Nothing is sent or stored before `run`. */
 export function createStreamOrigins(options: StreamOriginsOptions): StreamOriginService {
   const { self, datagrams, recipients, livePeers, lifeMs, random, telemetry } = options;
@@ -164,7 +158,7 @@
   const tellPeers = (): void => {
     noticeTimer = undefined;
     const chosen = choosePeers();
-    for (const origins of inMessages(untold.splice(0))) {
+    for (const origins of splitIntoMessages(untold.splice(0), MAX_STREAMS_IN_MESSAGE)) {
       const notice: OriginNotice = { origins, versions: [], isHistoryKnown: false };
       datagrams.send(notice, chosen);
     }
@@ -185,7 +179,7 @@
     askTimer = undefined;
     const keys = [...toAsk];
     toAsk.clear();
-    for (const each of inMessages(keys)) {
+    for (const each of splitIntoMessages(keys, MAX_STREAMS_IN_MESSAGE)) {
       const message: OriginAsk = {
         originAsk: { from: self, keys: each, needsVersions: !isHistoryKnown() },
       };
--- a/packages/serving/test/stream-versions.test.ts
+++ b/packages/serving/test/stream-versions.test.ts
@@ -1,8 +1,8 @@
-import { sleep } from '@hibiscusbank/core';
 import { ok } from 'neverthrow';
 import { afterEach, expect, test } from 'vitest';
 import type { UpstreamReply, UpstreamSend } from '../src/index.js';
 import { upstreamVersion } from '../src/index.js';
+import type { StoredOrigins } from '../src/stream-origins/origin-messages.js';
 import {
   createFakeTransport,
   createReply,
@@ -15,9 +15,6 @@
 } from './support/test-node.js';
 import type { FakeTransport, TestNode, TestStores } from './support/test-node.js';
 
-/** Time after which a node has stored what it knows of its streams. */
-const STORED_AFTER_MS = 600;
-
 const running: TestNode[] = [];
 
 const stop = async (node: TestNode): Promise<void> => {
@@ -114,6 +111,12 @@
   return statuses;
 }
 
+/** Returns the number of streams that `node-1` has stored. */
+async function countStored({ streamOrigins }: TestStores): Promise<number> {
+  const entry = (await streamOrigins.read('node-1'))._unsafeUnwrap();
+  return (entry.value as StoredOrigins).streams.flatMap(({ keys }) => keys).length;
+}
+
 /** Returns the streams that went on at another version than the one that began them. */
 const listJoined = (transport: FakeTransport, ids: readonly string[]): readonly string[] =>
   ids.filter((id) => {
@@ -173,7 +176,7 @@
   const before = await start(stores, transport);
   breakNewStreams(transport);
   const ids = await beginStreams(before, 12);
-  await sleep(STORED_AFTER_MS);
+  await waitUntil(async () => (await countStored(stores)) === ids.length);
   await stop(before);
   const after = await start(stores, transport);
   expect(await resumeAll(after, ids)).toEqual(ids.map(() => 200));
